--- /dev/null
+++ b/components/binding/src/lib.rs
@@ -0,0 +1,1 @@
+//! Tickets, execution records and caller-key claims: binding work runs at most once.
--- /dev/null
+++ b/components/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! An entry VM: caller, peer and operator listeners, relay, look-up and agents.
--- /dev/null
+++ b/components/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load generator, named experiments and capacity measurements.
--- /dev/null
+++ b/components/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Heartbeats, incarnations and digests of other failure domains.
--- /dev/null
+++ b/components/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of failure domain, entry VM and backend server; client block map; shift limiter.
--- /dev/null
+++ b/components/runtime/src/lib.rs
@@ -0,0 +1,1 @@
+//! Executor threads, timer service, task helpers and the metrics recorder.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
