Add runtime and strict HTTP on async-h1

Cause: async-h1 2.3.4 hands on a body shorter than its Content-Length as complete, takes the last of several Content-Length headers and loses pipelined requests. Ruled out: patching the library; wrapping only the body reader (the head checks would still be missing). Change: heads are read and checked before async-h1 sees them; it reads from a stream that ends exactly at the end of the message or fails.

--- /dev/null
+++ b/components/http/src/client.rs
@@ -0,0 +1,120 @@
+//! HTTP/1.1 client: one request on one new connection.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_net::TcpStream;
+use error_stack::{Report, ResultExt};
+use futures_lite::io;
+use http_types::{Body, Method, Request, Response, Url};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::{Error, Result};
+use crate::head::check_response;
+use crate::stream::{MessageStream, read_head, within};
+
+/// Limits of one exchange.
+#[derive(Clone, Debug)]
+pub struct ClientOptions {
+    /// Time to open the connection.
+    pub connect_timeout: Duration,
+    /// Time from the start of the request to the end of the response.
+    pub timeout: Duration,
+    /// Longest response body in bytes.
+    pub max_body: u64,
+}
+
+impl Default for ClientOptions {
+    fn default() -> Self {
+        ClientOptions {
+            connect_timeout: Duration::from_secs(1),
+            timeout: Duration::from_secs(5),
+            max_body: 64 << 20,
+        }
+    }
+}
+
+/// Sends a request on a new connection and returns the response with its whole body.
+pub async fn request(addr: SocketAddr, req: Request, options: &ClientOptions) -> Result<Response> {
+    let tcp = connect(addr, options.connect_timeout).await?;
+    let whole = async {
+        let mut res = Box::pin(send(tcp, req, options)).await?;
+        let bytes = res
+            .body_bytes()
+            .await
+            .map_err(|e| Report::new(Error::Truncated).attach(e.to_string()))?;
+        res.set_body(Body::from_bytes(bytes));
+        Ok(res)
+    };
+    within(options.timeout, Box::pin(whole)).await
+}
+
+/// Opens a connection; an error here means that nothing was sent.
+pub async fn connect(addr: SocketAddr, limit: Duration) -> Result<TcpStream> {
+    let open = async {
+        let tcp = TcpStream::connect(addr)
+            .await
+            .change_context(Error::Connect)?;
+        tcp.set_nodelay(true).change_context(Error::Connect)?;
+        Ok(tcp)
+    };
+    within(limit, open)
+        .await
+        .change_context(Error::Connect)
+        .attach_with(|| addr)
+}
+
+/// Sends a request and reads the head of the response; the body is read from the response.
+///
+/// Reading the body fails when the connection ends before the body is complete.
+/// Dropping the response closes the connection.
+pub async fn send(mut tcp: TcpStream, req: Request, options: &ClientOptions) -> Result<Response> {
+    let head_request = req.method() == Method::Head;
+    let exchange = async {
+        let mut encoder = async_h1::client::Encoder::new(req);
+        io::copy(&mut encoder, &mut tcp)
+            .await
+            .change_context(Error::Io)?;
+        let mut buf = Vec::new();
+        loop {
+            let raw = read_head(&mut tcp, &mut buf, options.timeout, options.timeout).await?;
+            let head = check_response(&raw, head_request)?;
+            match head.status {
+                101 => return Err(Report::new(Error::BadHead("unexpected protocol switch"))),
+                100..200 => {}
+                _ => return Ok((head, buf)),
+            }
+        }
+    };
+    let (head, rest) = within(options.timeout, Box::pin(exchange)).await?;
+    let stream = MessageStream::new(tcp, &head, &rest, options.max_body, options.timeout)?;
+    async_h1::client::decode(stream)
+        .await
+        .map_err(|e| Report::new(Error::BadHead("undecodable response")).attach(e.to_string()))
+}
+
+/// Builds a request; `path` starts with a slash and may have a query.
+pub fn build(method: Method, path: &str) -> Result<Request> {
+    let url = Url::parse(&format!("http://rosemaryglade{path}"))
+        .change_context(Error::BadHead("invalid path"))?;
+    Ok(Request::new(method, url))
+}
+
+/// Builds a request with a JSON body.
+pub fn json_request<T: Serialize>(method: Method, path: &str, value: &T) -> Result<Request> {
+    let mut req = build(method, path)?;
+    let body = serde_json::to_vec(value).change_context(Error::BadBody)?;
+    req.set_body(Body::from_bytes(body));
+    req.insert_header("content-type", "application/json");
+    Ok(req)
+}
+
+/// Reads the JSON body of a response.
+pub async fn parse_json<T: DeserializeOwned>(res: &mut Response) -> Result<T> {
+    let bytes = res
+        .body_bytes()
+        .await
+        .map_err(|e| Report::new(Error::Truncated).attach(e.to_string()))?;
+    serde_json::from_slice(&bytes).change_context(Error::BadBody)
+}
--- /dev/null
+++ b/components/http/src/codes.rs
@@ -0,0 +1,137 @@
+//! Numbered result codes; the table for callers is docs/RESULT-CODES.md.
+
+use http_types::{Response, StatusCode};
+use serde::Serialize;
+
+use crate::server::json;
+
+/// Header with the number of the result code.
+pub const CODE_HEADER: &str = "x-result-code";
+/// Header that tells whether the request was run.
+pub const OUTCOME_HEADER: &str = "x-outcome";
+/// Header of a backend server that shed a request without running it.
+pub const NOT_RUN_HEADER: &str = "x-not-run";
+
+/// What is known about the execution of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// No backend server ran the request.
+    NotRun,
+    /// A backend server may have run the request.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the value of the header.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+macro_rules! codes {
+    ($($name:ident = $number:literal, $status:literal, $outcome:ident, $text:literal;)*) => {
+        /// Reason why the system itself answers a request.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        #[repr(u16)]
+        pub enum Code {
+            $(#[doc = $text] $name = $number,)*
+        }
+
+        impl Code {
+            /// All codes in the order of their numbers.
+            pub const ALL: &[Code] = &[$(Code::$name),*];
+
+            /// Returns the HTTP status.
+            pub fn status(self) -> u16 {
+                match self { $(Code::$name => $status),* }
+            }
+
+            /// Returns what is known about the execution.
+            pub fn outcome(self) -> Outcome {
+                match self { $(Code::$name => Outcome::$outcome),* }
+            }
+
+            /// Returns a short description.
+            pub fn text(self) -> &'static str {
+                match self { $(Code::$name => $text),* }
+            }
+        }
+    };
+}
+
+codes! {
+    BadRequest = 100, 400, NotRun, "request is not valid HTTP/1.1";
+    RequestTruncated = 101, 400, NotRun, "request ended before its body was complete";
+    BodyTooLong = 102, 413, NotRun, "request body is too long";
+    HeadTooLong = 103, 431, NotRun, "request head is too long";
+    RequestTimeout = 104, 408, NotRun, "request arrived too slowly";
+    UnknownService = 105, 404, NotRun, "service does not exist";
+    NoTicketOrKey = 106, 428, NotRun, "binding request without ticket or key";
+    TicketForged = 107, 403, NotRun, "ticket is not valid";
+    TicketReused = 108, 422, NotRun, "ticket belongs to another request";
+    BadPeer = 109, 403, NotRun, "peer message without a valid keyed hash";
+    NotFound = 110, 404, NotRun, "path does not exist";
+    NoConfiguration = 200, 503, NotRun, "no configuration is in force";
+    Stopping = 201, 503, NotRun, "entry VM is stopping";
+    QueueFull = 202, 503, NotRun, "queue is full";
+    DeadlinePassed = 203, 504, NotRun, "deadline passed before the request was sent";
+    NoServer = 204, 503, NotRun, "no backend server is available";
+    ServersShed = 205, 503, NotRun, "backend servers shed the request";
+    RecordsFull = 206, 503, NotRun, "no room for another binding record";
+    PlatformUnreachable = 207, 503, NotRun, "key cannot be claimed while the platform is unreachable";
+    DomainDrained = 208, 503, NotRun, "failure domain takes no new work";
+    ShareExhausted = 209, 503, NotRun, "share of the failure domain is used up";
+    TicketExpired = 300, 409, Unknown, "ticket expired and its record is gone";
+    OwnerGone = 301, 409, Unknown, "entry VM that owned the request is gone";
+    AnswerCut = 302, 502, Unknown, "backend server's answer was cut";
+    AnswerTimeout = 303, 504, Unknown, "deadline passed after the request was sent";
+    ConnectionLost = 304, 502, Unknown, "connection to the backend server was lost";
+    AnswerInvalid = 305, 502, Unknown, "backend server's answer is not valid HTTP/1.1";
+    ClaimUnsettled = 306, 409, Unknown, "claim of the key is not settled";
+}
+
+impl Code {
+    /// Returns the number.
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+/// JSON body of a refusal.
+#[derive(Serialize)]
+struct Refusal<'a> {
+    /// Result code.
+    code: u16,
+    /// `not-run` or `unknown`.
+    outcome: &'a str,
+    /// Description of the code.
+    message: &'a str,
+    /// Details of this case.
+    detail: &'a str,
+}
+
+/// Builds the response for a code and counts it.
+pub fn refusal(code: Code, detail: &str) -> Response {
+    metrics::counter!("refusals_total", "code" => code.number().to_string()).increment(1);
+    let outcome = code.outcome().as_str();
+    let mut res = json(
+        code.status(),
+        &Refusal {
+            code: code.number(),
+            outcome,
+            message: code.text(),
+            detail,
+        },
+    );
+    res.insert_header(CODE_HEADER, code.number().to_string());
+    res.insert_header(OUTCOME_HEADER, outcome);
+    res
+}
+
+/// Tells whether a backend server's response states that it did not run the request.
+pub fn is_shed(res: &Response) -> bool {
+    res.status() == StatusCode::ServiceUnavailable && res.header(NOT_RUN_HEADER).is_some()
+}
--- /dev/null
+++ b/components/http/src/stream.rs
@@ -0,0 +1,240 @@
+//! A stream that ends where one HTTP message ends.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use async_io::Timer;
+use async_net::TcpStream;
+use error_stack::{Report, bail};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, FutureExt};
+
+use crate::error::{Error, Result};
+use crate::head::{Framing, Head, MAX_HEAD_BYTES, find_end};
+
+/// Time that a peer may take without reading any byte of a message sent to it.
+const WRITE_STALL: Duration = Duration::from_secs(10);
+/// Bytes read at once while a head is incomplete.
+const READ_CHUNK: usize = 4096;
+
+/// Reads one raw head; what follows it stays in `buf`.
+///
+/// Returns `Error::Closed` when the connection ends before the first byte.
+pub async fn read_head(
+    tcp: &mut TcpStream,
+    buf: &mut Vec<u8>,
+    idle: Duration,
+    limit: Duration,
+) -> Result<Vec<u8>> {
+    if buf.is_empty() {
+        within(idle, fill(tcp, buf)).await?;
+    }
+    let complete = async {
+        loop {
+            if let Some(end) = find_end(buf) {
+                if end > MAX_HEAD_BYTES {
+                    bail!(Error::HeadTooLong);
+                }
+                let rest = buf.split_off(end);
+                return Ok(std::mem::replace(buf, rest));
+            }
+            if buf.len() > MAX_HEAD_BYTES {
+                bail!(Error::HeadTooLong);
+            }
+            fill(tcp, buf).await?;
+        }
+    };
+    within(limit, complete).await
+}
+
+async fn fill(tcp: &mut TcpStream, buf: &mut Vec<u8>) -> Result<()> {
+    let mut chunk = vec![0; READ_CHUNK];
+    match tcp.read(&mut chunk).await {
+        Ok(0) if buf.is_empty() => Err(Report::new(Error::Closed)),
+        Ok(0) => Err(Report::new(Error::Truncated)),
+        Ok(n) => {
+            buf.extend_from_slice(&chunk[..n]);
+            Ok(())
+        }
+        Err(e) => Err(Report::new(Error::Io).attach(e)),
+    }
+}
+
+/// Runs `fut` for at most `limit`.
+pub async fn within<T>(limit: Duration, fut: impl Future<Output = Result<T>>) -> Result<T> {
+    fut.or(async {
+        Timer::after(limit).await;
+        Err(Report::new(Error::Timeout))
+    })
+    .await
+}
+
+/// Connection as seen by async-h1 for the length of one message.
+#[derive(Clone, Debug)]
+pub struct MessageStream {
+    /// Connection for writing.
+    tcp: TcpStream,
+    /// Shared by all clones, because async-h1 reads through a clone.
+    state: Arc<Mutex<State>>,
+}
+
+/// Reading side of the message.
+#[derive(Debug)]
+struct State {
+    /// Connection for reading.
+    tcp: TcpStream,
+    /// Checked head, then bytes that were read together with it.
+    buf: Vec<u8>,
+    /// Position in `buf`.
+    pos: usize,
+    /// Bytes of the head that are left.
+    head_left: usize,
+    /// How the body ends.
+    framing: Framing,
+    /// Bytes of the body that may still be read.
+    left: u64,
+    /// Ends a body that arrives too slowly.
+    read_limit: Timer,
+    /// Ends a write without progress.
+    write_limit: Option<Timer>,
+}
+
+impl MessageStream {
+    /// Creates the stream; `rest` holds the bytes that were read after the head.
+    pub fn new(
+        tcp: TcpStream,
+        head: &Head,
+        rest: &[u8],
+        max_body: u64,
+        limit: Duration,
+    ) -> Result<Self> {
+        let left = match head.framing {
+            Framing::Empty => 0,
+            Framing::Length(length) if length > max_body => bail!(Error::BodyTooLong),
+            Framing::Length(length) => length,
+            Framing::Chunked => max_body,
+        };
+        let mut buf = head.bytes.clone();
+        buf.extend_from_slice(rest);
+        let state = State {
+            tcp: tcp.clone(),
+            buf,
+            pos: 0,
+            head_left: head.bytes.len(),
+            framing: head.framing,
+            left,
+            read_limit: Timer::after(limit),
+            write_limit: None,
+        };
+        Ok(MessageStream {
+            tcp,
+            state: Arc::new(Mutex::new(state)),
+        })
+    }
+
+    /// Returns the bytes that follow the message, when its body was read to the end.
+    pub fn into_rest(self) -> Option<Vec<u8>> {
+        let state = self.lock();
+        let known = matches!(state.framing, Framing::Empty | Framing::Length(_));
+        (known && state.left == 0 && state.head_left == 0).then(|| state.buf[state.pos..].to_vec())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn poll_read(&mut self, cx: &mut Context<'_>, out: &mut [u8]) -> Poll<io::Result<usize>> {
+        if self.head_left > 0 {
+            let n = self.copy_buffered(out, self.head_left);
+            self.head_left -= n;
+            return Poll::Ready(Ok(n));
+        }
+        if self.left == 0 {
+            return Poll::Ready(self.end());
+        }
+        let max = usize::try_from(self.left)
+            .unwrap_or(usize::MAX)
+            .min(out.len());
+        let n = if self.pos < self.buf.len() {
+            self.copy_buffered(out, max)
+        } else {
+            ready!(self.poll_tcp(cx, &mut out[..max]))?
+        };
+        if n == 0 && max > 0 {
+            return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+        }
+        self.left -= n as u64;
+        Poll::Ready(Ok(n))
+    }
+
+    fn end(&self) -> io::Result<usize> {
+        match self.framing {
+            Framing::Chunked => Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                Error::BodyTooLong.to_string(),
+            )),
+            _ => Ok(0),
+        }
+    }
+
+    fn copy_buffered(&mut self, out: &mut [u8], max: usize) -> usize {
+        let n = (self.buf.len() - self.pos).min(out.len()).min(max);
+        out[..n].copy_from_slice(&self.buf[self.pos..self.pos + n]);
+        self.pos += n;
+        n
+    }
+
+    fn poll_tcp(&mut self, cx: &mut Context<'_>, out: &mut [u8]) -> Poll<io::Result<usize>> {
+        let read = Pin::new(&mut self.tcp).poll_read(cx, out);
+        if read.is_pending() && self.read_limit.poll(cx).is_ready() {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        read
+    }
+}
+
+impl AsyncRead for MessageStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        self.lock().poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for MessageStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.tcp).poll_write(cx, buf);
+        let mut state = self.lock();
+        if written.is_ready() {
+            state.write_limit = None;
+            return written;
+        }
+        let timer = state
+            .write_limit
+            .get_or_insert_with(|| Timer::after(WRITE_STALL));
+        if timer.poll(cx).is_ready() {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        Poll::Pending
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_close(cx)
+    }
+}
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -1,1 +1,11 @@
 //! Executor threads, timer service, task helpers and the metrics recorder.
+
+mod clock;
+mod executor;
+pub mod recorder;
+pub mod signals;
+mod timer;
+
+pub use clock::Clock;
+pub use executor::{block_on, spawn, timeout};
+pub use timer::{TimerService, sleep};
--- /dev/null
+++ b/components/runtime/src/timer.rs
@@ -0,0 +1,94 @@
+//! The timer service.
+
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+
+use crate::clock::Clock;
+use crate::executor::spawn;
+
+/// Sends the uptime to each subscriber at the subscriber's period.
+#[derive(Clone, Debug)]
+pub struct TimerService {
+    /// New subscriptions; closing the channel ends the service.
+    tx: Sender<Subscription>,
+}
+
+/// One subscriber.
+struct Subscription {
+    /// Time between two ticks.
+    period: Duration,
+    /// Next tick.
+    next: Instant,
+    /// Receives the uptime.
+    tx: Sender<Duration>,
+}
+
+impl TimerService {
+    /// Starts the service.
+    pub fn start(clock: Clock) -> Self {
+        let (tx, rx) = async_channel::unbounded();
+        spawn(run(clock, rx)).detach();
+        TimerService { tx }
+    }
+
+    /// Subscribes to ticks; a subscriber that is still busy with one tick misses the next.
+    ///
+    /// Dropping the receiver ends the subscription.
+    pub fn subscribe(&self, period: Duration) -> Receiver<Duration> {
+        let (tx, rx) = async_channel::bounded(1);
+        let next = Instant::now() + period;
+        // The channel is unbounded, so this fails only after the service has ended.
+        let _ = self.tx.try_send(Subscription { period, next, tx });
+        rx
+    }
+}
+
+async fn run(clock: Clock, rx: Receiver<Subscription>) {
+    let mut subscriptions: Vec<Subscription> = Vec::new();
+    loop {
+        let next = subscriptions.iter().map(|s| s.next).min();
+        let added = match next {
+            Some(at) => receive_until(&rx, at).await,
+            None => Some(rx.recv().await),
+        };
+        match added {
+            Some(Ok(subscription)) => subscriptions.push(subscription),
+            Some(Err(_)) => return,
+            None => tick(&mut subscriptions, clock.uptime()),
+        }
+    }
+}
+
+/// Waits for a subscription until `at`; returns `None` when the time has come.
+async fn receive_until(
+    rx: &Receiver<Subscription>,
+    at: Instant,
+) -> Option<Result<Subscription, async_channel::RecvError>> {
+    use futures_lite::FutureExt;
+    async { Some(rx.recv().await) }
+        .or(async {
+            async_io::Timer::at(at).await;
+            None
+        })
+        .await
+}
+
+fn tick(subscriptions: &mut Vec<Subscription>, uptime: Duration) {
+    let now = Instant::now();
+    subscriptions.retain_mut(|s| {
+        if s.next > now {
+            return true;
+        }
+        s.next = now + s.period;
+        !matches!(
+            s.tx.try_send(uptime),
+            Err(async_channel::TrySendError::Closed(_))
+        )
+    });
+}
+
+/// Waits for `duration`.
+pub async fn sleep(duration: Duration) {
+    async_io::Timer::after(duration).await;
+}
