Add command line frame with exit codes

Cause: several commands are added in parallel and need one place to register. Change: src/cli.rs lists one line per subcommand; each file in src/cmd has command() and run(); exit codes are constants in src/cmd/exit.rs, described in docs/EXIT-CODES.md.

--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,53 @@
+//! Command line definition and dispatch to the commands in `src/cmd`.
+
+use std::process::ExitCode;
+
+use clap::{ArgMatches, Command};
+
+use crate::cmd;
+
+/// One subcommand: its definition and the function that runs it.
+struct Subcommand {
+    /// Builds the definition with its help.
+    command: fn() -> Command,
+    /// Runs it on parsed arguments.
+    run: fn(&ArgMatches) -> ExitCode,
+}
+
+/// All subcommands in the order of the help page. A new command adds one line here.
+const SUBCOMMANDS: &[Subcommand] = &[
+    Subcommand {
+        command: cmd::check::command,
+        run: cmd::check::run,
+    },
+    Subcommand {
+        command: cmd::plan::command,
+        run: cmd::plan::run,
+    },
+];
+
+/// Builds the whole command line.
+pub fn command() -> Command {
+    Command::new("rosemaryglade")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Operates a rosemaryglade traffic steering deployment")
+        .after_help("Exit codes are listed in docs/EXIT-CODES.md, file fields in docs/SETTINGS.md.")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands(SUBCOMMANDS.iter().map(|s| (s.command)()))
+}
+
+/// Parses the arguments of the process and runs the chosen subcommand.
+pub fn run() -> ExitCode {
+    let matches = command().get_matches();
+    let Some((name, args)) = matches.subcommand() else {
+        return cmd::exit::USAGE.into();
+    };
+    match SUBCOMMANDS
+        .iter()
+        .find(|s| (s.command)().get_name() == name)
+    {
+        Some(s) => (s.run)(args),
+        None => cmd::exit::USAGE.into(),
+    }
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,9 @@
+//! One file per command, each with `command()` and `run(&ArgMatches)`.
+
+pub mod check;
+#[allow(
+    dead_code,
+    reason = "some codes belong to commands that are added separately"
+)]
+pub mod exit;
+pub mod plan;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,11 @@
 //! The operators' command line.
 
-fn main() {}
+mod cli;
+mod cmd;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    env_logger::init();
+    cli::run()
+}
