--- /dev/null
+++ b/components/binding/src/keys.rs
@@ -0,0 +1,138 @@
+//! Keyed hashes for tickets and peer messages.
+
+use std::fmt;
+
+use config::KeySettings;
+use error_stack::Report;
+use smallvec::SmallVec;
+
+/// Key id sent with each keyed hash.
+pub type KeyId = u32;
+/// Keyed blake3 hash.
+pub type Mac = [u8; blake3::OUT_LEN];
+/// Result of building a key ring.
+pub type Result<T, E = Report<KeyError>> = std::result::Result<T, E>;
+
+const MIN_SECRET_CHARS: usize = 16;
+const TICKET_CONTEXT: &str = "rosemaryglade 2026-12 ticket";
+const PEER_CONTEXT: &str = "rosemaryglade 2026-12 peer message";
+
+/// Why the keys in the settings file cannot be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyError {
+    /// The list is empty.
+    NoKeys,
+    /// The secret of this key has fewer than 16 characters.
+    ShortSecret(KeyId),
+    /// Two keys share this id.
+    DuplicateId(KeyId),
+}
+
+impl fmt::Display for KeyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            KeyError::NoKeys => f.write_str("settings `keys` is empty; add at least one key"),
+            KeyError::ShortSecret(id) => write!(
+                f,
+                "secret of key {id} has fewer than {MIN_SECRET_CHARS} characters; use a longer one"
+            ),
+            KeyError::DuplicateId(id) => {
+                write!(f, "key id {id} is used twice; give each key its own id")
+            }
+        }
+    }
+}
+
+impl std::error::Error for KeyError {}
+
+/// What a hash is for. A hash made in one context never verifies in the other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Context {
+    /// Tickets.
+    Ticket,
+    /// Messages between entry VMs.
+    PeerMessage,
+}
+
+/// Keys of one process: the first one signs, all verify.
+#[derive(Clone)]
+pub struct KeyRing {
+    /// Derived keys in the order of the settings file, never empty.
+    keys: SmallVec<[Key; 2]>,
+}
+
+#[derive(Clone)]
+struct Key {
+    id: KeyId,
+    ticket: [u8; blake3::KEY_LEN],
+    peer: [u8; blake3::KEY_LEN],
+}
+
+impl Key {
+    fn derive(settings: &KeySettings) -> Key {
+        let secret = settings.secret.as_bytes();
+        Key {
+            id: settings.id,
+            ticket: blake3::derive_key(TICKET_CONTEXT, secret),
+            peer: blake3::derive_key(PEER_CONTEXT, secret),
+        }
+    }
+
+    fn hash(&self, context: Context, bytes: &[u8]) -> blake3::Hash {
+        let key = match context {
+            Context::Ticket => &self.ticket,
+            Context::PeerMessage => &self.peer,
+        };
+        blake3::keyed_hash(key, bytes)
+    }
+}
+
+impl KeyRing {
+    /// Derives the keys of all contexts from the settings.
+    pub fn new(settings: &[KeySettings]) -> Result<KeyRing> {
+        if settings.is_empty() {
+            return Err(Report::new(KeyError::NoKeys));
+        }
+        for (i, key) in settings.iter().enumerate() {
+            if key.secret.chars().count() < MIN_SECRET_CHARS {
+                return Err(Report::new(KeyError::ShortSecret(key.id)));
+            }
+            if settings[..i].iter().any(|k| k.id == key.id) {
+                return Err(Report::new(KeyError::DuplicateId(key.id)));
+            }
+        }
+        Ok(KeyRing {
+            keys: settings.iter().map(Key::derive).collect(),
+        })
+    }
+
+    /// Id of the key that signs.
+    pub fn signing_key(&self) -> KeyId {
+        self.keys[0].id
+    }
+
+    /// Hashes `bytes` under the first key.
+    pub fn sign(&self, context: Context, bytes: &[u8]) -> (KeyId, Mac) {
+        let key = &self.keys[0];
+        (key.id, *key.hash(context, bytes).as_bytes())
+    }
+
+    /// Whether `mac` is the hash of `bytes` under the key with this id. The comparison takes the
+    /// same time wherever the hashes differ.
+    pub fn verify(&self, context: Context, id: KeyId, bytes: &[u8], mac: &Mac) -> bool {
+        let Some(key) = self.keys.iter().find(|key| key.id == id) else {
+            return false;
+        };
+        // `blake3::Hash` compares in constant time; arrays do not.
+        key.hash(context, bytes) == blake3::Hash::from_bytes(*mac)
+    }
+}
+
+impl fmt::Debug for KeyRing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ids: SmallVec<[KeyId; 2]> = self.keys.iter().map(|key| key.id).collect();
+        f.debug_struct("KeyRing")
+            .field("ids", &ids)
+            .finish_non_exhaustive()
+    }
+}
