--- /dev/null
+++ b/components/limits/src/queue.rs
@@ -0,0 +1,400 @@
+//! Admission queue of one service at one entry VM.
+//!
+//! Classes are served in the order binding, idempotent, deferrable, with a bound on how often a
+//! waiting class is passed over. Within a class, deficit round robin divides the starts among
+//! houses, so a house gains nothing by opening more connections.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use config::{Class, HouseId};
+
+/// Number of classes.
+const CLASSES: usize = 3;
+
+/// Weight of a new sample in the average service time.
+const SERVICE_TIME_WEIGHT: f64 = 0.05;
+
+/// Bounds and weights of a queue.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Largest number of waiting entries.
+    pub max_len: usize,
+    /// Cost that a house may start per round.
+    pub quantum: u32,
+    /// Starts of higher classes after which a waiting idempotent entry goes first.
+    pub idempotent_pass_limit: u32,
+    /// Starts of higher classes after which a waiting deferrable entry goes first.
+    pub deferrable_pass_limit: u32,
+    /// Share of the slots that deferrable work may hold (0 to 1).
+    pub deferrable_slot_share: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            max_len: 256,
+            quantum: 1,
+            idempotent_pass_limit: 8,
+            deferrable_pass_limit: 32,
+            deferrable_slot_share: config::Rules::default().deferrable_slot_share,
+        }
+    }
+}
+
+/// A waiting request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry<T> {
+    /// Class of the operation.
+    pub class: Class,
+    /// House that the caller acts for.
+    pub house: HouseId,
+    /// Time by which the response must be complete.
+    pub deadline: Duration,
+    /// Cost in the round robin; 1 for an ordinary request.
+    pub cost: u32,
+    /// The queued item.
+    pub item: T,
+}
+
+/// Why a request was refused or dropped; in every case it was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Refusal {
+    /// The queue is full.
+    Full,
+    /// The expected wait does not leave enough time before the deadline.
+    DeadlineTooNear,
+    /// The deadline passed while the request waited.
+    Expired,
+    /// A request of a higher class, or of a house with fewer waiting requests, took its place.
+    Displaced,
+}
+
+/// Slots of the service that this entry VM may use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Slots {
+    /// All of them.
+    pub total: u32,
+    /// Held by any class.
+    pub in_use: u32,
+    /// Held by deferrable work.
+    pub deferrable: u32,
+}
+
+/// Result of a [`Queue::pop`].
+#[derive(Debug)]
+pub struct Popped<T> {
+    /// Entries found expired on the way; to be answered as not run.
+    pub expired: Vec<Entry<T>>,
+    /// The entry to start.
+    pub next: Option<Entry<T>>,
+}
+
+/// Waiting entries of one house in one class.
+#[derive(Debug)]
+struct House<T> {
+    entries: VecDeque<Entry<T>>,
+    deficit: u32,
+    /// The house has received its quantum for the current visit.
+    visited: bool,
+}
+
+/// Waiting entries of one class.
+#[derive(Debug)]
+struct Lane<T> {
+    houses: BTreeMap<HouseId, House<T>>,
+    /// Houses with waiting entries, in the order of their turns.
+    turns: VecDeque<HouseId>,
+    len: usize,
+    passed_over: u32,
+}
+
+impl<T> Lane<T> {
+    fn new() -> Self {
+        Lane {
+            houses: BTreeMap::new(),
+            turns: VecDeque::new(),
+            len: 0,
+            passed_over: 0,
+        }
+    }
+
+    fn house_len(&self, house: &HouseId) -> usize {
+        self.houses.get(house).map_or(0, |h| h.entries.len())
+    }
+
+    fn push(&mut self, entry: Entry<T>) {
+        let house = self.houses.entry(entry.house.clone()).or_insert_with(|| {
+            self.turns.push_back(entry.house.clone());
+            House {
+                entries: VecDeque::new(),
+                deficit: 0,
+                visited: false,
+            }
+        });
+        house.entries.push_back(entry);
+        self.len += 1;
+    }
+
+    /// Takes the next entry by deficit round robin.
+    fn pop(&mut self, quantum: u32) -> Option<Entry<T>> {
+        loop {
+            let id = self.turns.front()?.clone();
+            let house = self.houses.get_mut(&id)?;
+            if !house.visited {
+                house.visited = true;
+                house.deficit = house.deficit.saturating_add(quantum.max(1));
+            }
+            let cost = house.entries.front().map_or(0, |e| e.cost);
+            if cost <= house.deficit {
+                let entry = house.entries.pop_front()?;
+                house.deficit -= cost;
+                self.len -= 1;
+                if house.entries.is_empty() {
+                    self.remove_house(&id);
+                }
+                return Some(entry);
+            }
+            house.visited = false;
+            self.turns.rotate_left(1);
+        }
+    }
+
+    /// Removes the newest entry of the house with the most waiting entries.
+    fn pop_longest(&mut self) -> Option<Entry<T>> {
+        let (id, _) = self.longest()?;
+        let house = self.houses.get_mut(&id)?;
+        let entry = house.entries.pop_back();
+        let empty = house.entries.is_empty();
+        self.len -= usize::from(entry.is_some());
+        if empty {
+            self.remove_house(&id);
+        }
+        entry
+    }
+
+    fn longest(&self) -> Option<(HouseId, usize)> {
+        let longest = self.houses.iter().max_by_key(|(_, h)| h.entries.len());
+        longest.map(|(id, h)| (id.clone(), h.entries.len()))
+    }
+
+    fn remove_house(&mut self, id: &HouseId) {
+        self.houses.remove(id);
+        self.turns.retain(|t| t != id);
+    }
+
+    fn expire(&mut self, now: Duration, expired: &mut Vec<Entry<T>>) {
+        let mut emptied = Vec::new();
+        for (id, house) in &mut self.houses {
+            let entries = std::mem::take(&mut house.entries);
+            for entry in entries {
+                if entry.deadline <= now {
+                    self.len -= 1;
+                    expired.push(entry);
+                } else {
+                    house.entries.push_back(entry);
+                }
+            }
+            if house.entries.is_empty() {
+                emptied.push(id.clone());
+            }
+        }
+        for id in emptied {
+            self.remove_house(&id);
+        }
+    }
+}
+
+/// Admission queue of one service at one entry VM.
+#[derive(Debug)]
+pub struct Queue<T> {
+    settings: Settings,
+    lanes: [Lane<T>; CLASSES],
+    mean_service_secs: Option<f64>,
+}
+
+impl<T> Queue<T> {
+    /// Creates an empty queue.
+    pub fn new(settings: Settings) -> Self {
+        Queue {
+            settings,
+            lanes: [Lane::new(), Lane::new(), Lane::new()],
+            mean_service_secs: None,
+        }
+    }
+
+    /// Number of waiting entries.
+    pub fn len(&self) -> usize {
+        self.lanes.iter().map(|l| l.len).sum()
+    }
+
+    /// True if nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Records how long a request held its slot; the average predicts waits.
+    pub fn record_service_time(&mut self, time: Duration) {
+        let secs = time.as_secs_f64();
+        let mean = self.mean_service_secs.get_or_insert(secs);
+        *mean += (secs - *mean) * SERVICE_TIME_WEIGHT;
+    }
+
+    /// Expected wait of a new entry of this class and house.
+    pub fn expected_wait(&self, class: Class, house: &HouseId, slots: Slots) -> Duration {
+        let usable = match class {
+            Class::Deferrable => deferrable_limit(slots.total, self.settings.deferrable_slot_share),
+            Class::Binding | Class::Idempotent => slots.total,
+        };
+        let ahead = self.ahead(class, house);
+        let free =
+            slots.in_use < slots.total && (class != Class::Deferrable || slots.deferrable < usable);
+        if ahead == 0 && free {
+            return Duration::ZERO;
+        }
+        let mean = self.mean_service_secs.unwrap_or(0.0);
+        Duration::from_secs_f64(mean * (ahead + 1) as f64 / f64::from(usable.max(1)))
+    }
+
+    /// Entries that start before a new one: higher classes, and the earlier rounds of its own.
+    fn ahead(&self, class: Class, house: &HouseId) -> usize {
+        let rank = class as usize;
+        let higher: usize = self.lanes[..rank].iter().map(|l| l.len).sum();
+        let lane = &self.lanes[rank];
+        let own = lane.house_len(house);
+        let rounds = lane.houses.iter().map(|(id, h)| {
+            if id == house {
+                own
+            } else {
+                h.entries.len().min(own + 1)
+            }
+        });
+        higher + rounds.sum::<usize>()
+    }
+
+    /// Queues an entry, or refuses it as not run.
+    ///
+    /// On success, returns the entry that had to make room in a full queue, if any; it was not
+    /// run ([`Refusal::Displaced`]).
+    pub fn push(
+        &mut self,
+        now: Duration,
+        entry: Entry<T>,
+        slots: Slots,
+    ) -> Result<Option<Entry<T>>, (Refusal, Entry<T>)> {
+        let remaining = entry.deadline.saturating_sub(now);
+        if remaining.is_zero() {
+            return Err((Refusal::Expired, entry));
+        }
+        let wait = self.expected_wait(entry.class, &entry.house, slots);
+        // Without a wait the request is tried even if it looks too late, so that a wrong
+        // average is corrected by new samples.
+        let service = Duration::from_secs_f64(self.mean_service_secs.unwrap_or(0.0));
+        if !wait.is_zero() && wait + service > remaining {
+            return Err((Refusal::DeadlineTooNear, entry));
+        }
+        let mut displaced = None;
+        if self.len() >= self.settings.max_len {
+            match self.make_room(entry.class, &entry.house) {
+                Some(old) => displaced = Some(old),
+                None => return Err((Refusal::Full, entry)),
+            }
+        }
+        self.lanes[entry.class as usize].push(entry);
+        Ok(displaced)
+    }
+
+    /// Removes an entry of a lower class, or of a house that holds more of the queue.
+    fn make_room(&mut self, class: Class, house: &HouseId) -> Option<Entry<T>> {
+        let rank = class as usize;
+        for lane in self.lanes[rank + 1..].iter_mut().rev() {
+            if lane.len > 0 {
+                return lane.pop_longest();
+            }
+        }
+        let lane = &mut self.lanes[rank];
+        let (_, longest) = lane.longest()?;
+        if longest > lane.house_len(house) + 1 {
+            return lane.pop_longest();
+        }
+        None
+    }
+
+    /// Takes the next entry to start if a slot is free for it.
+    pub fn pop(&mut self, now: Duration, slots: Slots) -> Popped<T> {
+        let mut expired = Vec::new();
+        while let Some(rank) = self.next_lane(slots) {
+            let Some(entry) = self.lanes[rank].pop(self.settings.quantum) else {
+                break;
+            };
+            if entry.deadline <= now {
+                expired.push(entry);
+                continue;
+            }
+            self.count_pass(rank);
+            return Popped {
+                expired,
+                next: Some(entry),
+            };
+        }
+        Popped {
+            expired,
+            next: None,
+        }
+    }
+
+    /// Removes all entries whose deadline has passed; each was not run.
+    pub fn expire(&mut self, now: Duration) -> Vec<Entry<T>> {
+        let mut expired = Vec::new();
+        for lane in &mut self.lanes {
+            lane.expire(now, &mut expired);
+        }
+        expired
+    }
+
+    fn next_lane(&self, slots: Slots) -> Option<usize> {
+        if slots.in_use >= slots.total {
+            return None;
+        }
+        let limit = deferrable_limit(slots.total, self.settings.deferrable_slot_share);
+        let ready = |rank: usize| {
+            let deferrable = rank == Class::Deferrable as usize;
+            self.lanes[rank].len > 0 && (!deferrable || slots.deferrable < limit)
+        };
+        let limits = [
+            u32::MAX,
+            self.settings.idempotent_pass_limit,
+            self.settings.deferrable_pass_limit,
+        ];
+        let overdue = |rank: &usize| ready(*rank) && self.lanes[*rank].passed_over >= limits[*rank];
+        (0..CLASSES)
+            .rev()
+            .find(overdue)
+            .or_else(|| (0..CLASSES).find(|rank| ready(*rank)))
+    }
+
+    fn count_pass(&mut self, started: usize) {
+        self.lanes[started].passed_over = 0;
+        for lane in &mut self.lanes[started + 1..] {
+            if lane.len > 0 {
+                lane.passed_over = lane.passed_over.saturating_add(1);
+            }
+        }
+    }
+}
+
+/// Slots of `total` that deferrable work may hold.
+///
+/// At least one if there are two or more, so that it makes progress; none of a single slot,
+/// because that is the last one. A share of 1 lifts the limit.
+pub fn deferrable_limit(total: u32, share: f64) -> u32 {
+    if share >= 1.0 {
+        return total;
+    }
+    let limit = (f64::from(total) * share.max(0.0)).floor() as u32;
+    if share > 0.0 && total >= 2 {
+        limit.max(1)
+    } else {
+        limit
+    }
+}
--- /dev/null
+++ b/components/limits/src/slots/ledger.rs
@@ -0,0 +1,463 @@
+//! Slots that one entry VM holds, lends and borrows.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use config::{Class, Generation, ServerId};
+use error_stack::{Report, ResultExt as _};
+use serde::{Deserialize, Serialize};
+
+use super::split::Parts;
+
+/// Result of a ledger operation.
+pub type Result<T> = std::result::Result<T, Report<Error>>;
+
+/// Why a ledger operation failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// The server is not in the configuration in force.
+    UnknownServer,
+    /// The loan has ended or was never made.
+    UnknownLoan,
+    /// The reply arrived after the end of the lease.
+    LeaseEnded,
+    /// No slot is idle.
+    NoIdleSlot,
+    /// This process was paused and has not been confirmed since.
+    Paused,
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Error::UnknownServer => "server is not in the configuration in force",
+            Error::UnknownLoan => "slot loan has ended or was never made",
+            Error::LeaseEnded => "reply to a loan request arrived after the end of the lease",
+            Error::NoIdleSlot => "no idle slot to lend",
+            Error::Paused => "process was paused and is not confirmed by its peers yet",
+        })
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Time bounds.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Term of a loan.
+    pub term: Duration,
+    /// Time before the end of its term at which a borrower stops, so that the cancellation of
+    /// its requests reaches the server in time.
+    pub margin: Duration,
+    /// Gap between ticks after which the process counts as paused.
+    pub pause_limit: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            term: Duration::from_millis(500),
+            margin: Duration::from_millis(25),
+            pause_limit: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Request for a loan, kept by the borrower until the reply.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoanRequest {
+    /// Server whose slots are wanted.
+    pub server: ServerId,
+    /// When the borrower sent it; the term counts from here.
+    pub sent: Duration,
+}
+
+/// Reply of a lender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Number of the loan, unique at the lender.
+    pub loan: u64,
+    /// Slots lent.
+    pub slots: u32,
+}
+
+/// Wire form of a [`Grant`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireGrant {
+    /// Number of the loan.
+    pub loan: u64,
+    /// Slots lent.
+    pub slots: u32,
+}
+
+impl From<Grant> for WireGrant {
+    fn from(grant: Grant) -> Self {
+        WireGrant {
+            loan: grant.loan,
+            slots: grant.slots,
+        }
+    }
+}
+
+impl From<WireGrant> for Grant {
+    fn from(wire: WireGrant) -> Self {
+        Grant {
+            loan: wire.loan,
+            slots: wire.slots,
+        }
+    }
+}
+
+/// A borrowed loan whose extension should be requested.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Renewal {
+    /// Key of the loan at the borrower.
+    pub key: u64,
+    /// Number of the loan at the lender.
+    pub loan: u64,
+    /// Server of the slots.
+    pub server: ServerId,
+}
+
+/// Right to have one request in flight at a server.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Permit {
+    /// Server.
+    pub server: ServerId,
+    /// Number of the permit at this VM.
+    pub number: u64,
+}
+
+/// Slots of one server at this VM.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Own part.
+    pub part: u32,
+    /// Own slots in use.
+    pub own: u32,
+    /// Own slots lent to others.
+    pub lent: u32,
+    /// Borrowed slots.
+    pub borrowed: u32,
+    /// Borrowed slots in use.
+    pub borrowed_in_use: u32,
+}
+
+impl Usage {
+    /// Slots that new requests may take.
+    pub fn free(&self) -> u32 {
+        self.free_own() + self.borrowed.saturating_sub(self.borrowed_in_use)
+    }
+
+    /// Own slots that new requests may take.
+    pub fn free_own(&self) -> u32 {
+        self.part.saturating_sub(self.own + self.lent)
+    }
+}
+
+#[derive(Debug)]
+struct Lent {
+    server: ServerId,
+    slots: u32,
+    until: Duration,
+}
+
+#[derive(Debug)]
+struct Borrowed {
+    loan: u64,
+    server: ServerId,
+    slots: u32,
+    until: Duration,
+}
+
+/// Slots that one entry VM holds, lends and borrows.
+#[derive(Debug)]
+pub struct Ledger {
+    settings: Settings,
+    generation: Generation,
+    /// Newest generation that all live peers have settled.
+    in_force: Option<Generation>,
+    /// Part under the newest configuration.
+    target: Parts,
+    /// Part in force: the smaller of the old and the new one until all live peers have settled.
+    parts: Parts,
+    /// Permits in use, with the key of the borrowed loan that each one uses.
+    permits: BTreeMap<Permit, Option<u64>>,
+    lent: BTreeMap<u64, Lent>,
+    borrowed: BTreeMap<u64, Borrowed>,
+    next: u64,
+    ticked: Duration,
+    confirmed: bool,
+}
+
+impl Ledger {
+    /// Creates a ledger that holds nothing until [`Ledger::adopt`] and [`Ledger::confirm`].
+    pub fn new(settings: Settings, now: Duration) -> Self {
+        Ledger {
+            settings,
+            generation: 0,
+            in_force: None,
+            target: Parts::new(),
+            parts: Parts::new(),
+            permits: BTreeMap::new(),
+            lent: BTreeMap::new(),
+            borrowed: BTreeMap::new(),
+            next: 0,
+            ticked: now,
+            confirmed: false,
+        }
+    }
+
+    /// Adopts the parts of a newer split. Reductions are in force at once; increases only after
+    /// [`Ledger::peers_settled`], because a peer may still use the slots under its older split.
+    pub fn adopt(&mut self, generation: Generation, target: Parts) {
+        if generation <= self.generation && generation != 0 {
+            return;
+        }
+        self.generation = generation;
+        let mut parts = target.clone();
+        for (server, part) in &mut parts {
+            *part = (*part).min(self.parts.get(server).copied().unwrap_or(0));
+        }
+        self.parts = parts;
+        self.target = target;
+    }
+
+    /// Newest adopted split.
+    pub fn generation(&self) -> Generation {
+        self.generation
+    }
+
+    /// True when everything in use or lent fits the reduced parts, so this VM may announce the
+    /// generation as settled.
+    pub fn settled(&self) -> bool {
+        let servers = self.permits.keys().map(|p| &p.server);
+        let servers = servers.chain(self.lent.values().map(|l| &l.server));
+        servers.into_iter().all(|server| {
+            let usage = self.usage(server);
+            usage.own + usage.lent <= usage.part
+        })
+    }
+
+    /// All live peers have announced this generation as settled; increases come into force.
+    pub fn peers_settled(&mut self, generation: Generation) {
+        if generation == self.generation {
+            self.parts.clone_from(&self.target);
+            self.in_force = Some(generation);
+        }
+    }
+
+    /// Adopts the parts of the same configuration with another set of gone VMs: reductions (a VM
+    /// has come back) at once, increases (a VM is listed as gone and has been silent for 5 s)
+    /// too, unless peers have yet to settle the generation.
+    pub fn reassign(&mut self, target: Parts) {
+        for (server, part) in &target {
+            let old = self.target.get(server).copied().unwrap_or(0);
+            let Some(in_force) = self.parts.get_mut(server) else {
+                continue;
+            };
+            if self.in_force == Some(self.generation) {
+                *in_force += part.saturating_sub(old);
+            }
+            *in_force = (*in_force).min(*part);
+        }
+        self.target = target;
+    }
+
+    /// Advances time: ends loans and detects pauses. Returns the permits on borrowed slots whose
+    /// lease has ended; their requests must be cancelled now and then released.
+    pub fn tick(&mut self, now: Duration) -> Vec<Permit> {
+        self.check_pause(now);
+        self.ticked = self.ticked.max(now);
+        self.lent.retain(|_, l| now < l.until);
+        let margin = self.settings.margin;
+        let ended = |key: &u64| {
+            let loan = self.borrowed.get(key);
+            loan.is_none_or(|b| now + margin >= b.until)
+        };
+        let uses_ended = |loan: &Option<u64>| loan.as_ref().is_some_and(ended);
+        let late = self.permits.iter().filter(|(_, loan)| uses_ended(loan));
+        let late = late.map(|(permit, _)| permit.clone()).collect();
+        self.borrowed.retain(|_, b| now + margin < b.until);
+        late
+    }
+
+    fn check_pause(&mut self, now: Duration) {
+        if now.saturating_sub(self.ticked) > self.settings.pause_limit {
+            self.confirmed = false;
+        }
+    }
+
+    /// The peers count this VM as present (or the VM list says that there are none).
+    pub fn confirm(&mut self, now: Duration) {
+        self.ticked = self.ticked.max(now);
+        self.confirmed = true;
+    }
+
+    /// Slots of a server at this VM.
+    pub fn usage(&self, server: &ServerId) -> Usage {
+        let mut usage = Usage {
+            part: self.parts.get(server).copied().unwrap_or(0),
+            ..Usage::default()
+        };
+        for loan in self.permits_of(server) {
+            match loan {
+                Some(_) => usage.borrowed_in_use += 1,
+                None => usage.own += 1,
+            }
+        }
+        let lent = self.lent.values().filter(|l| l.server == *server);
+        usage.lent = lent.map(|l| l.slots).sum();
+        let borrowed = self.borrowed.values().filter(|b| b.server == *server);
+        usage.borrowed = borrowed.map(|b| b.slots).sum();
+        usage
+    }
+
+    fn permits_of<'a>(&'a self, server: &'a ServerId) -> impl Iterator<Item = &'a Option<u64>> {
+        let first = Permit {
+            server: server.clone(),
+            number: 0,
+        };
+        let of_server = self.permits.range(first..);
+        let of_server = of_server.take_while(move |(p, _)| p.server == *server);
+        of_server.map(|(_, loan)| loan)
+    }
+
+    /// Takes a slot. Binding work uses own slots only, because a request on a borrowed one is
+    /// cancelled when the lease ends; other work prefers borrowed slots and leaves the own ones.
+    pub fn acquire(&mut self, now: Duration, server: &ServerId, class: Class) -> Result<Permit> {
+        self.check_pause(now);
+        if !self.confirmed {
+            return Err(Report::new(Error::Paused));
+        }
+        if !self.parts.contains_key(server) {
+            return Err(Report::new(Error::UnknownServer).attach(server.clone()));
+        }
+        let borrowed = self.free_borrowed(now, server);
+        let loan = borrowed.filter(|_| class != Class::Binding);
+        if loan.is_none() && self.usage(server).free_own() == 0 {
+            return Err(Report::new(Error::NoIdleSlot));
+        }
+        self.next += 1;
+        let permit = Permit {
+            server: server.clone(),
+            number: self.next,
+        };
+        self.permits.insert(permit.clone(), loan);
+        Ok(permit)
+    }
+
+    /// Borrowed loan with an idle slot and at least half of its term left.
+    fn free_borrowed(&self, now: Duration, server: &ServerId) -> Option<u64> {
+        let usable = self.borrowed.iter().find(|(key, b)| {
+            let used = self.permits_of(server).filter(|l| **l == Some(**key));
+            let left = b.until.saturating_sub(now);
+            b.server == *server && left > self.settings.term / 2 && used.count() < b.slots as usize
+        });
+        usable.map(|(key, _)| *key)
+    }
+
+    /// Returns a slot after the request has ended or was cancelled.
+    pub fn release(&mut self, permit: &Permit) {
+        self.permits.remove(permit);
+    }
+
+    /// Lends up to `wanted` idle slots but keeps `reserve` idle ones. The lender's term starts
+    /// at this reply, later than the borrower's.
+    pub fn lend(
+        &mut self,
+        now: Duration,
+        server: &ServerId,
+        wanted: u32,
+        reserve: u32,
+    ) -> Result<Grant> {
+        self.check_pause(now);
+        if !self.confirmed {
+            return Err(Report::new(Error::Paused));
+        }
+        let idle = self.usage(server).free_own().saturating_sub(reserve);
+        let slots = idle.min(wanted);
+        if slots == 0 {
+            return Err(Report::new(Error::NoIdleSlot));
+        }
+        self.next += 1;
+        self.lent.insert(
+            self.next,
+            Lent {
+                server: server.clone(),
+                slots,
+                until: now + self.settings.term,
+            },
+        );
+        Ok(Grant {
+            loan: self.next,
+            slots,
+        })
+    }
+
+    /// Extends a loan that has not ended at the lender.
+    pub fn extend(&mut self, now: Duration, loan: u64) -> Result<()> {
+        let lent = self.lent.get_mut(&loan).filter(|l| now < l.until);
+        let lent = lent.ok_or_else(|| Report::new(Error::UnknownLoan))?;
+        lent.until = lent.until.max(now + self.settings.term);
+        Ok(())
+    }
+
+    /// The borrower has returned a loan early.
+    pub fn take_back(&mut self, loan: u64) {
+        self.lent.remove(&loan);
+    }
+
+    /// Accepts the reply to a request; call at most once per request.
+    pub fn borrow(&mut self, now: Duration, request: &LoanRequest, grant: Grant) -> Result<u64> {
+        let until = request.sent + self.settings.term;
+        if now + self.settings.margin >= until {
+            return Err(Report::new(Error::LeaseEnded)).attach(request.server.clone());
+        }
+        self.next += 1;
+        let key = self.next;
+        self.borrowed.insert(
+            key,
+            Borrowed {
+                loan: grant.loan,
+                server: request.server.clone(),
+                slots: grant.slots,
+                until,
+            },
+        );
+        Ok(key)
+    }
+
+    /// Loans in use that should be extended, because less than half of the term is left.
+    pub fn renewals(&self, now: Duration) -> Vec<Renewal> {
+        let half = self.settings.term / 2;
+        let due = self.borrowed.iter().filter(|(key, b)| {
+            let in_use = self.permits_of(&b.server).any(|l| *l == Some(**key));
+            in_use && b.until.saturating_sub(now) <= half
+        });
+        due.map(|(key, b)| Renewal {
+            key: *key,
+            loan: b.loan,
+            server: b.server.clone(),
+        })
+        .collect()
+    }
+
+    /// The lender has extended a loan; `sent` is when the extension was requested.
+    pub fn extended(&mut self, key: u64, sent: Duration) -> Result<()> {
+        let loan = self.borrowed.get_mut(&key);
+        let loan = loan.ok_or_else(|| Report::new(Error::UnknownLoan))?;
+        loan.until = loan.until.max(sent + self.settings.term);
+        Ok(())
+    }
+
+    /// Gives up idle loans; returns the server and the lender's loan number of each.
+    pub fn give_back(&mut self) -> Vec<(ServerId, u64)> {
+        let in_use: Vec<u64> = self.permits.values().copied().flatten().collect();
+        let (kept, idle) = std::mem::take(&mut self.borrowed)
+            .into_iter()
+            .partition(|(key, _)| in_use.contains(key));
+        self.borrowed = kept;
+        idle.into_values().map(|b| (b.server, b.loan)).collect()
+    }
+}
