--- /dev/null
+++ b/components/routing/src/shift.rs
@@ -0,0 +1,87 @@
+//! Movement of traffic shares under a cap.
+
+use std::time::Duration;
+
+use config::Shift;
+
+use crate::Shares;
+
+/// Window that a cap applies to.
+const MINUTE: Duration = Duration::from_mins(1);
+/// Longest time between two calls that counts as time to move. Without this bound a node that
+/// was paused for a minute would move the cap at once and again in the minute that follows.
+const MAX_STEP: Duration = Duration::from_secs(1);
+
+/// Share that has to move to get from `a` to `b`.
+pub fn distance(a: &Shares, b: &Shares) -> f64 {
+    let gained = b
+        .iter()
+        .map(|(d, s)| (s - a.get(d).unwrap_or(&0.0)).max(0.0));
+    let lost = a
+        .iter()
+        .map(|(d, s)| (s - b.get(d).unwrap_or(&0.0)).max(0.0));
+    gained.sum::<f64>().max(lost.sum())
+}
+
+/// Shares at `fraction` of the straight line from `a` to `b`.
+pub fn between(a: &Shares, b: &Shares, fraction: f64) -> Shares {
+    if fraction >= 1.0 {
+        return b.clone();
+    }
+    let mut out: Shares = b.iter().map(|(d, s)| (d.clone(), s * fraction)).collect();
+    for (d, s) in a {
+        *out.entry(d.clone()).or_default() += s * (1.0 - fraction);
+    }
+    out
+}
+
+/// Shares that a shift prescribes at a platform time in milliseconds since the Unix epoch.
+pub fn position(shift: &Shift, cap_per_minute: f64, now_ms: u64) -> Shares {
+    let total = distance(&shift.from, &shift.to);
+    let elapsed = Duration::from_millis(now_ms.saturating_sub(shift.start_ms));
+    let moved = cap_per_minute * elapsed.as_secs_f64() / MINUTE.as_secs_f64();
+    if total <= 0.0 {
+        return shift.to.clone();
+    }
+    between(&shift.from, &shift.to, moved / total)
+}
+
+/// Shares in force on one node for one service.
+///
+/// However the target jumps, the share moved in any minute of the node's own clock is at most the
+/// cap. By the triangle inequality the same holds for the weighted sum over nodes.
+#[derive(Clone, Debug)]
+pub struct ShiftLimiter {
+    shares: Shares,
+    last: Duration,
+}
+
+impl ShiftLimiter {
+    /// Starts with the given shares in force at `now`, time since process start.
+    pub fn new(shares: Shares, now: Duration) -> Self {
+        ShiftLimiter { shares, last: now }
+    }
+
+    /// Shares in force.
+    pub fn shares(&self) -> &Shares {
+        &self.shares
+    }
+
+    /// Moves towards `target` as far as the cap allows since the last call and returns the shares
+    /// in force. Call it at least once a second: time beyond that does not count.
+    pub fn advance(&mut self, target: &Shares, cap_per_minute: f64, now: Duration) -> &Shares {
+        let step = now.saturating_sub(self.last).min(MAX_STEP);
+        self.last = self.last.max(now);
+        // A window of a minute holds at most a minute of steps and the end of one that began
+        // before it, so the rate is the cap over their sum.
+        let rate = cap_per_minute.max(0.0) / (MINUTE + MAX_STEP).as_secs_f64();
+        let allowed = rate * step.as_secs_f64();
+        let total = distance(&self.shares, target);
+        if total <= allowed {
+            self.shares.clone_from(target);
+        } else if allowed > 0.0 {
+            self.shares = between(&self.shares, target, allowed / total);
+        }
+        &self.shares
+    }
+}
