membership: add heartbeats, liveness, slot split agreement and digests

Cause: look-ups, ticket issue and the slot split need one view of the domain's entry VMs. Ruled out: a new shuffle per rotation (doubles the time between two contacts); counting a VM on the word of single announcements (two VMs can each rely on a stale one and share no common set). Change: pure crate with Membership, wire types, Split and Digests.

--- /dev/null
+++ b/components/membership/src/membership.rs
@@ -0,0 +1,310 @@
+//! Membership of one failure domain as seen by one of its entry VMs.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use config::{EntryVmId, Generation, Incarnation};
+use smallvec::SmallVec;
+
+use crate::digest::Digests;
+use crate::heartbeat::{Heartbeat, VmState};
+use crate::peer::{Liveness, Peer, Update};
+use crate::settings::MemberSettings;
+use crate::split::{Members, Split, SplitState};
+
+/// Peers to contact in one round.
+pub type Contacts = SmallVec<[EntryVmId; 8]>;
+
+/// What became of a heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Newer news of a known process.
+    Accepted,
+    /// First news of a process.
+    NewIncarnation,
+    /// Not newer than what is known: ignored.
+    Repeated,
+    /// From a process that was replaced: ignored.
+    OldIncarnation,
+    /// The sender is not in the configuration of this domain: ignored.
+    UnknownVm,
+    /// Another process uses the id of this VM: ignored; an operator must look at it.
+    OwnId,
+}
+
+/// Newest VM list.
+#[derive(Debug)]
+struct VmList {
+    live: BTreeSet<EntryVmId>,
+    leaving: BTreeSet<EntryVmId>,
+}
+
+/// Membership of one failure domain.
+#[derive(Debug)]
+pub struct Membership {
+    /// Digests of other failure domains.
+    pub digests: Digests,
+    settings: MemberSettings,
+    vm: EntryVmId,
+    incarnation: Incarnation,
+    state: VmState,
+    /// Other configured VMs of the domain.
+    peers: BTreeMap<EntryVmId, Peer>,
+    list: Option<VmList>,
+    /// Peers in the order of contact; `cursor` is the next one. A fixed order keeps the time
+    /// between two contacts constant, which a new shuffle per rotation would double.
+    order: Vec<EntryVmId>,
+    cursor: usize,
+    is_order_new: bool,
+    last_round: Duration,
+    /// End of the last own pause: silence of peers before it proves nothing.
+    listening_since: Duration,
+    split: SplitState,
+}
+
+impl Membership {
+    /// Membership of entry VM `vm` in a domain with the entry VMs `configured`.
+    pub fn new(
+        settings: MemberSettings,
+        vm: EntryVmId,
+        incarnation: Incarnation,
+        configured: impl IntoIterator<Item = EntryVmId>,
+        now: Duration,
+    ) -> Membership {
+        let mut membership = Membership {
+            digests: Digests::default(),
+            settings,
+            vm,
+            incarnation,
+            state: VmState::Starting,
+            peers: BTreeMap::new(),
+            list: None,
+            order: Vec::new(),
+            cursor: 0,
+            is_order_new: true,
+            last_round: now,
+            listening_since: now,
+            split: SplitState::default(),
+        };
+        membership.on_configuration(configured, now);
+        membership
+    }
+
+    /// Takes the entry VMs of the domain from a new configuration.
+    pub fn on_configuration(
+        &mut self,
+        configured: impl IntoIterator<Item = EntryVmId>,
+        now: Duration,
+    ) {
+        let configured: BTreeSet<EntryVmId> = configured.into_iter().collect();
+        self.peers.retain(|vm, _| configured.contains(vm));
+        for vm in configured {
+            if vm != self.vm {
+                self.peers.entry(vm).or_insert_with(|| Peer::new(now));
+            }
+        }
+        self.order = self.peers.keys().cloned().collect();
+        self.is_order_new = true;
+        self.advance(now);
+    }
+
+    /// Advances the state of this process; it never goes back.
+    pub fn set_state(&mut self, state: VmState) {
+        self.state = self.state.max(state);
+    }
+
+    /// State of this process.
+    pub fn state(&self) -> VmState {
+        self.state
+    }
+
+    /// Own heartbeat, to be sent to peers and as the answer to theirs.
+    pub fn heartbeat(&self, generation: Generation, free_slots: u32, now: Duration) -> Heartbeat {
+        Heartbeat {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            uptime: now,
+            state: self.state,
+            generation,
+            free_slots,
+            counted: self.split.target().clone(),
+        }
+    }
+
+    /// Takes a heartbeat of a peer.
+    pub fn on_heartbeat(&mut self, hb: &Heartbeat, now: Duration) -> Heard {
+        if hb.vm == self.vm {
+            return Heard::OwnId;
+        }
+        let is_dead = self.state_of(&hb.vm, now) == Some(Liveness::Dead);
+        let Some(peer) = self.peers.get_mut(&hb.vm) else {
+            return Heard::UnknownVm;
+        };
+        let heard = match peer.update(hb, now, is_dead) {
+            Update::Newer => Heard::Accepted,
+            Update::Replaced => {
+                self.split.restart_agreement();
+                Heard::NewIncarnation
+            }
+            Update::Repeated => return Heard::Repeated,
+            Update::Old => return Heard::OldIncarnation,
+        };
+        self.advance(now);
+        heard
+    }
+
+    /// Takes the platform's VM list.
+    pub fn on_vm_list(
+        &mut self,
+        live: impl IntoIterator<Item = EntryVmId>,
+        leaving: impl IntoIterator<Item = EntryVmId>,
+        now: Duration,
+    ) {
+        self.list = Some(VmList {
+            live: live.into_iter().collect(),
+            leaving: leaving.into_iter().collect(),
+        });
+        self.advance(now);
+    }
+
+    /// Starts a round of heartbeats; call it every `MemberSettings::round`.
+    pub fn peers_to_contact(&mut self, now: Duration, rng: &mut fastrand::Rng) -> Contacts {
+        if self.was_paused(now) {
+            self.listening_since = now;
+            self.split.fence();
+        }
+        self.last_round = now;
+        self.advance(now);
+        if self.is_order_new {
+            rng.shuffle(&mut self.order);
+            self.is_order_new = false;
+            self.cursor = 0;
+        }
+        let len = self.order.len();
+        let n = len.min(self.settings.fan_out);
+        let next = self.order.iter().cycle().skip(self.cursor).take(n);
+        let contacts = next.cloned().collect();
+        self.cursor = (self.cursor + n) % len.max(1);
+        contacts
+    }
+
+    /// Whether a peer is heard; `None` if it is not in the configuration.
+    pub fn state_of(&self, vm: &str, now: Duration) -> Option<Liveness> {
+        let peer = self.peers.get(vm)?;
+        let silence = self.silence(peer, now);
+        let peers = self.peers.len();
+        Some(if silence >= self.settings.dead_after(peers) {
+            Liveness::Dead
+        } else if silence >= self.settings.suspect_after(peers) || peer.heard().is_none() {
+            Liveness::Suspected
+        } else {
+            Liveness::Alive
+        })
+    }
+
+    /// Last accepted heartbeat of a peer, for example to issue a ticket for it.
+    pub fn last_heartbeat(&self, vm: &str) -> Option<(Duration, &Heartbeat)> {
+        self.peers.get(vm)?.heard()
+    }
+
+    /// VMs to name in look-ups, sorted: the first group below that has any.
+    ///
+    /// 1. ready and alive, 2. the same, but the VM list says that the VM is leaving, 3. ready and
+    ///    suspected, 4. leaving and not dead.
+    pub fn look_up_candidates(&self, now: Duration) -> Vec<EntryVmId> {
+        let mut groups: [Vec<EntryVmId>; 4] = Default::default();
+        let own = (&self.vm, Liveness::Alive, self.state);
+        let peers = self.peers.iter().filter_map(|(vm, peer)| {
+            let liveness = self.state_of(vm, now)?;
+            Some((vm, liveness, peer.state()?))
+        });
+        for (vm, liveness, state) in peers.chain([own]) {
+            let group = match (state, liveness) {
+                (VmState::Starting, _) | (_, Liveness::Dead) => continue,
+                (VmState::Ready, Liveness::Alive) => usize::from(self.is_listed_leaving(vm)),
+                (VmState::Ready, Liveness::Suspected) => 2,
+                (VmState::Leaving, _) => 3,
+            };
+            groups[group].push(vm.clone());
+        }
+        let mut candidates = groups
+            .into_iter()
+            .find(|group| !group.is_empty())
+            .unwrap_or_default();
+        candidates.sort_unstable();
+        candidates
+    }
+
+    /// Sets of members under which this VM may use slots at `now`. Ask again before each use: the
+    /// answer is empty after an own pause.
+    pub fn split_members(&self, now: Duration) -> Split {
+        if self.was_paused(now) {
+            return Split::default();
+        }
+        self.split.view()
+    }
+
+    /// Newest configuration known in this domain and by the digests, and who has it.
+    pub fn newest_generation(&self) -> Option<(Generation, &EntryVmId)> {
+        let heard = self.peers.values().filter_map(Peer::heard);
+        heard
+            .map(|(_, hb)| (hb.generation, &hb.vm))
+            .chain(self.digests.newest_generation())
+            .max_by_key(|(generation, _)| *generation)
+    }
+
+    fn was_paused(&self, now: Duration) -> bool {
+        now.saturating_sub(self.last_round) >= self.settings.fence_after
+    }
+
+    /// How long a peer was silent while this process listened.
+    fn silence(&self, peer: &Peer, now: Duration) -> Duration {
+        if self.was_paused(now) {
+            return Duration::ZERO;
+        }
+        now.saturating_sub(peer.last_sign().max(self.listening_since))
+    }
+
+    fn is_listed_leaving(&self, vm: &str) -> bool {
+        let list = self.list.as_ref();
+        list.is_some_and(|list| list.leaving.contains(vm) && !list.live.contains(vm))
+    }
+
+    fn is_listed_gone(&self, vm: &str) -> bool {
+        let list = self.list.as_ref();
+        list.is_some_and(|list| !list.live.contains(vm) && !list.leaving.contains(vm))
+    }
+
+    /// Updates the target of the slot split and the agreement on it.
+    fn advance(&mut self, now: Duration) {
+        if self.was_paused(now) {
+            return;
+        }
+        let is_gone =
+            |vm: &str| self.is_listed_gone(vm) && self.state_of(vm, now) == Some(Liveness::Dead);
+        let peers = self.peers.keys().filter(|vm| !is_gone(vm));
+        let mut target: Vec<EntryVmId> = peers.chain([&self.vm]).cloned().collect();
+        target.sort_unstable();
+        let target: Members = target.into();
+        let is_agreed = target
+            .iter()
+            .filter_map(|vm| self.peers.get(vm))
+            .all(|peer| self.confirms(peer, &target, now));
+        let settle = match target.len() {
+            1 => Duration::ZERO,
+            _ => self.settings.settle(self.peers.len()),
+        };
+        self.split.retarget(target);
+        self.split.agree(is_agreed, settle, now);
+    }
+
+    /// Whether a peer announced `target` in a fresh heartbeat, or has been silent for so long that
+    /// the split does not wait for it.
+    fn confirms(&self, peer: &Peer, target: &Members, now: Duration) -> bool {
+        let fresh = self.settings.suspect_after(self.peers.len());
+        let is_confirmed = peer
+            .heard()
+            .is_some_and(|(at, hb)| now.saturating_sub(at) < fresh && hb.counted == *target);
+        is_confirmed || self.silence(peer, now) >= self.settings.confirm_patience
+    }
+}
