--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -1,28 +1,181 @@
 //! `check`: reports the faults of settings, inventory and rules files.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use config::{Fault, Kind};
 
-use super::exit;
+use super::exit::{self, Code};
+use super::files::{self, File};
+
+/// Options that state the kind of a file.
+const KINDS: [(&str, Kind); 3] = [
+    ("settings", Kind::Settings),
+    ("inventory", Kind::Inventory),
+    ("rules", Kind::Rules),
+];
 
 /// Definition of the command.
 pub fn command() -> Command {
+    let path = value_parser!(PathBuf);
+    let kinds = KINDS.map(|(name, _)| {
+        Arg::new(name)
+            .long(name)
+            .value_name("FILE")
+            .help(format!("File that is checked as {name}"))
+            .action(ArgAction::Append)
+            .value_parser(path.clone())
+    });
     Command::new("check")
         .about("Check settings, inventory and rules files and report all faults")
+        .after_help(
+            "Rules and settings are checked against the inventory given with them; with several\n\
+             inventories, against the one in the same folder.\n\n\
+             Example: rosemaryglade check examples/notensatz/*.json\n\n\
+             Exit codes: 0 no errors, 1 errors found, 2 usage, 5 file unreadable",
+        )
         .arg(
             Arg::new("file")
                 .value_name("FILE")
-                .help("Settings, inventory or rules file")
-                .required(true)
+                .help("File whose kind is recognised by its fields")
                 .action(ArgAction::Append)
                 .num_args(1..)
-                .value_parser(value_parser!(PathBuf)),
+                .required_unless_present_any(KINDS.map(|(name, _)| name))
+                .value_parser(path.clone()),
         )
+        .args(kinds)
+}
+
+/// A file to check.
+struct Input {
+    /// Path.
+    path: PathBuf,
+    /// Kind.
+    kind: Kind,
+    /// Content.
+    file: File,
 }
 
 /// Runs the command.
-pub fn run(_args: &ArgMatches) -> ExitCode {
-    exit::FAULTS.into()
+pub fn run(args: &ArgMatches) -> ExitCode {
+    let (inputs, failure) = read_inputs(args);
+    let mut faults = Vec::new();
+    let mut usage = None;
+    for input in &inputs {
+        match check(input, &inputs) {
+            Ok(found) => faults.extend(found),
+            Err(code) => usage = Some(code),
+        }
+    }
+    for fault in &faults {
+        files::print(format_args!("{fault}\n"));
+    }
+    let summary = files::summary(&faults);
+    files::print(format_args!(
+        "{summary} in {} of {} files\n",
+        inputs.len(),
+        count(args)
+    ));
+    let found = faults.iter().any(Fault::is_error).then_some(exit::FAULTS);
+    failure.or(usage).or(found).unwrap_or(exit::FINE).into()
+}
+
+/// Number of files on the command line.
+fn count(args: &ArgMatches) -> usize {
+    let ids = KINDS.iter().map(|(name, _)| *name).chain(["file"]);
+    ids.map(|id| args.get_many::<PathBuf>(id).map_or(0, Iterator::count))
+        .sum()
+}
+
+/// Reads all files; goes on after a failure, so that the faults of the others are reported.
+fn read_inputs(args: &ArgMatches) -> (Vec<Input>, Option<Code>) {
+    let mut inputs = Vec::new();
+    let mut failure = None;
+    let stated = KINDS.iter().map(|(name, kind)| (*name, Some(*kind)));
+    for (id, kind) in stated.chain([("file", None)]) {
+        for path in args.get_many::<PathBuf>(id).unwrap_or_default() {
+            match read_input(path, kind) {
+                Ok(input) => inputs.push(input),
+                // An unreadable file takes precedence over a faulty one.
+                Err(code) if failure != Some(exit::UNREADABLE) => failure = Some(code),
+                Err(_) => {}
+            }
+        }
+    }
+    (inputs, failure)
+}
+
+fn read_input(path: &Path, kind: Option<Kind>) -> Result<Input, Code> {
+    let file = files::read(path)?;
+    let kind = kind.or_else(|| config::detect_kind(&file.text));
+    let Some(kind) = kind.or_else(|| kind_by_name(path)) else {
+        eprintln!(
+            "{}: error: no field of settings, inventory or rules is found; correct the file or \
+             state its kind with --settings, --inventory or --rules",
+            file.name
+        );
+        return Err(exit::FAULTS);
+    };
+    Ok(Input {
+        path: path.into(),
+        kind,
+        file,
+    })
+}
+
+/// Kind by file name, for files whose text cannot be read as JSON.
+fn kind_by_name(path: &Path) -> Option<Kind> {
+    let stem = path.file_stem()?.to_str()?;
+    KINDS
+        .into_iter()
+        .find(|(name, _)| stem.contains(name))
+        .map(|(_, kind)| kind)
+}
+
+/// Checks one file, together with its inventory if there is one.
+fn check(input: &Input, inputs: &[Input]) -> Result<Vec<Fault>, Code> {
+    if input.kind == Kind::Inventory {
+        return Ok(config::check_file(input.kind, input.file.source(), None));
+    }
+    let Some(inventory) = inventory_of(input, inputs)? else {
+        eprintln!("{}: note: checked without an inventory", input.file.name);
+        return Ok(config::check_file(input.kind, input.file.source(), None));
+    };
+    let source = inventory.file.source();
+    if input.kind == Kind::Rules {
+        let (_, mut faults) = config::read_configuration(source, input.file.source());
+        // The faults of the inventory are reported once, for the inventory itself.
+        faults.retain(|fault| *fault.file == *input.file.name);
+        return Ok(faults);
+    }
+    let inventory = config::parse_inventory(&inventory.file.name, &inventory.file.text).ok();
+    Ok(config::check_file(
+        input.kind,
+        input.file.source(),
+        inventory.as_ref(),
+    ))
+}
+
+/// The only inventory, or the only one in the same folder.
+fn inventory_of<'a>(input: &Input, inputs: &'a [Input]) -> Result<Option<&'a Input>, Code> {
+    let inventories: Vec<&Input> = inputs
+        .iter()
+        .filter(|i| i.kind == Kind::Inventory)
+        .collect();
+    if inventories.len() <= 1 {
+        return Ok(inventories.first().copied());
+    }
+    let near: Vec<&&Input> = inventories
+        .iter()
+        .filter(|i| i.path.parent() == input.path.parent())
+        .collect();
+    if near.len() > 1 {
+        eprintln!(
+            "{}: error: several inventories fit; give one at a time",
+            input.file.name
+        );
+        return Err(exit::USAGE);
+    }
+    Ok(near.first().map(|i| **i))
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,4 +6,5 @@
     reason = "some codes belong to commands that are added separately"
 )]
 pub mod exit;
+pub mod files;
 pub mod plan;
