--- /dev/null
+++ b/components/limits/tests/queue.rs
@@ -0,0 +1,217 @@
+//! Admission queue.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use config::Class;
+use limits::queue::{Entry, Queue, Refusal, Settings, Slots, deferrable_limit};
+use proptest::prelude::*;
+
+const FREE: Slots = Slots {
+    total: 8,
+    in_use: 0,
+    deferrable: 0,
+};
+
+fn entry(class: Class, house: &str, item: u32) -> Entry<u32> {
+    Entry {
+        class,
+        house: house.into(),
+        deadline: Duration::from_mins(10),
+        cost: 1,
+        item,
+    }
+}
+
+fn queue(max_len: usize) -> Queue<u32> {
+    Queue::new(Settings {
+        max_len,
+        ..Settings::default()
+    })
+}
+
+fn push(queue: &mut Queue<u32>, entry: Entry<u32>) -> Result<Option<u32>, Refusal> {
+    let pushed = queue.push(Duration::ZERO, entry, FREE);
+    pushed.map(|d| d.map(|e| e.item)).map_err(|(why, _)| why)
+}
+
+fn pop(queue: &mut Queue<u32>) -> Option<Entry<u32>> {
+    queue.pop(Duration::ZERO, FREE).next
+}
+
+/// Guards against starvation of lower classes, and against lower classes that go first.
+#[test]
+fn classes_in_order_without_starvation() {
+    let mut q = queue(10_000);
+    for i in 0..1_000 {
+        for class in [Class::Binding, Class::Idempotent, Class::Deferrable] {
+            push(&mut q, entry(class, "h", i)).expect("room");
+        }
+    }
+    let started: Vec<Class> = (0..500)
+        .filter_map(|_| pop(&mut q))
+        .map(|e| e.class)
+        .collect();
+    let count = |class| started.iter().filter(|c| **c == class).count();
+    assert!(started[..8].iter().all(|c| *c == Class::Binding));
+    assert!(count(Class::Binding) > 400);
+    assert!(count(Class::Idempotent) > 40);
+    assert!((10..=20).contains(&count(Class::Deferrable)));
+}
+
+/// Guards against a house that gains by queueing more requests.
+#[test]
+fn houses_take_turns() {
+    let mut q = queue(1_000);
+    for i in 0..100 {
+        push(&mut q, entry(Class::Idempotent, "loud", i)).expect("room");
+    }
+    for i in 0..5 {
+        push(&mut q, entry(Class::Idempotent, "quiet", i)).expect("room");
+    }
+    let houses: Vec<_> = (0..10)
+        .filter_map(|_| pop(&mut q))
+        .map(|e| e.house)
+        .collect();
+    assert_eq!(houses.iter().filter(|h| &***h == "quiet").count(), 5);
+}
+
+/// Guards against a house that gains by making each request more expensive.
+#[test]
+fn cost_counts_in_the_round_robin() {
+    let mut q = queue(1_000);
+    for i in 0..100 {
+        let heavy = Entry {
+            cost: 4,
+            ..entry(Class::Idempotent, "heavy", i)
+        };
+        push(&mut q, heavy).expect("room");
+        push(&mut q, entry(Class::Idempotent, "light", i)).expect("room");
+    }
+    let mut cost: BTreeMap<_, u32> = BTreeMap::new();
+    for e in (0..50).filter_map(|_| pop(&mut q)) {
+        *cost.entry(e.house).or_default() += e.cost;
+    }
+    assert!(cost["heavy"].abs_diff(cost["light"]) <= 4, "{cost:?}");
+}
+
+/// Guards against a queue filled by one house, or by deferrable work, that refuses the others.
+#[test]
+fn a_full_queue_makes_room_for_others() {
+    let mut q = queue(4);
+    for i in 0..4 {
+        push(&mut q, entry(Class::Idempotent, "loud", i)).expect("room");
+    }
+    let refused = push(&mut q, entry(Class::Idempotent, "loud", 9));
+    assert_eq!(refused, Err(Refusal::Full));
+    let refused = push(&mut q, entry(Class::Deferrable, "quiet", 9));
+    assert_eq!(refused, Err(Refusal::Full));
+    assert_eq!(
+        push(&mut q, entry(Class::Idempotent, "quiet", 9)),
+        Ok(Some(3))
+    );
+    assert_eq!(push(&mut q, entry(Class::Binding, "loud", 10)), Ok(Some(2)));
+    assert_eq!(q.len(), 4);
+}
+
+/// Guards against deferrable work in the last slots.
+#[test]
+fn deferrable_work_leaves_slots() {
+    let mut q = queue(100);
+    for i in 0..10 {
+        push(&mut q, entry(Class::Deferrable, "h", i)).expect("room");
+    }
+    let mut slots = FREE;
+    while q.pop(Duration::ZERO, slots).next.is_some() {
+        slots.in_use += 1;
+        slots.deferrable += 1;
+    }
+    assert_eq!(slots.deferrable, 4);
+    push(&mut q, entry(Class::Binding, "h", 99)).expect("room");
+    let next = q.pop(Duration::ZERO, slots).next;
+    assert_eq!(next.map(|e| e.item), Some(99));
+    assert_eq!(
+        [0, 1, 2, 3, 36].map(|n| deferrable_limit(n, 0.5)),
+        [0, 0, 1, 1, 18]
+    );
+    assert_eq!(deferrable_limit(3, 0.0), 0);
+    assert_eq!(deferrable_limit(3, 1.0), 3);
+}
+
+/// Guards against requests that wait although they cannot meet their deadline, and against
+/// expired ones that still start.
+#[test]
+fn deadlines_are_honoured() {
+    let mut q = queue(1_000);
+    let full = Slots { in_use: 8, ..FREE };
+    let at = |secs, item| Entry {
+        deadline: Duration::from_secs(secs),
+        ..entry(Class::Idempotent, "h", item)
+    };
+    for _ in 0..200 {
+        q.record_service_time(Duration::from_secs(1));
+    }
+    // Each start takes 1 s / 8 slots: 24 entries fit into 3 s, less the service time itself.
+    let accepted = (0..100).filter(|i| q.push(Duration::ZERO, at(4, *i), full).is_ok());
+    assert_eq!(accepted.count(), 24);
+    let refused = q.push(Duration::ZERO, at(4, 0), full);
+    assert_eq!(
+        refused.map_err(|(why, _)| why),
+        Err(Refusal::DeadlineTooNear)
+    );
+    assert!(q.push(Duration::ZERO, at(60, 100), full).is_ok());
+    let popped = q.pop(Duration::from_secs(4), FREE);
+    assert_eq!(popped.expired.len(), 24);
+    assert_eq!(popped.next.map(|e| e.item), Some(100));
+    let late = q.push(Duration::from_secs(9), at(9, 0), FREE);
+    assert_eq!(late.map_err(|(why, _)| why), Err(Refusal::Expired));
+}
+
+fn class() -> impl Strategy<Value = Class> {
+    prop_oneof![
+        Just(Class::Binding),
+        Just(Class::Idempotent),
+        Just(Class::Deferrable)
+    ]
+}
+
+proptest! {
+    /// Guards against entries that are lost or come out twice.
+    #[test]
+    fn every_entry_leaves_once(
+        ops in prop::collection::vec((class(), 0_u8..4, 1_u32..5, 1_u64..200, any::<bool>()), 1..300)
+    ) {
+        let mut q = queue(20);
+        let mut left = Vec::new();
+        let mut pushed = 0;
+        for (i, (class, house, cost, deadline, pop)) in (0_u32..).zip(ops) {
+            let now = Duration::from_millis(u64::from(i));
+            let entry = Entry {
+                class,
+                house: house.to_string().into(),
+                deadline: now + Duration::from_millis(deadline),
+                cost,
+                item: i,
+            };
+            pushed += 1;
+            match q.push(now, entry, FREE) {
+                Ok(displaced) => left.extend(displaced.map(|e| e.item)),
+                Err((_, entry)) => left.push(entry.item),
+            }
+            prop_assert!(q.len() <= 20);
+            if pop {
+                let popped = q.pop(now, FREE);
+                left.extend(popped.expired.into_iter().chain(popped.next).map(|e| e.item));
+            }
+            if i % 50 == 0 {
+                left.extend(q.expire(now).into_iter().map(|e| e.item));
+            }
+        }
+        while !q.is_empty() {
+            let popped = q.pop(Duration::ZERO, FREE);
+            left.extend(popped.expired.into_iter().chain(popped.next).map(|e| e.item));
+        }
+        left.sort_unstable();
+        prop_assert_eq!(left, (0..pushed).collect::<Vec<u32>>());
+    }
+}
