--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -1,17 +1,17 @@
 //! Admission of requests to the backend servers of this failure domain.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_channel::Sender;
-use config::{Class, EntryVmId, ServerId, ServiceId};
+use config::{Class, Generation, ServerId, ServiceId};
 use http::codes::Code;
 use limits::budget::{Budget, Reason};
 use limits::hedge::{self, Hedge};
 use limits::queue::{Entry, Queue, Refusal, Slots};
-use limits::slots::{Ledger, Permit, split};
+use limits::slots::{Ledger, Parts, Permit};
 use routing::server::{LoadReport, Outcome, Selector, Share, State};
 use runtime::Clock;
 use smallvec::SmallVec;
@@ -44,7 +44,9 @@
     address: SocketAddr,
     /// Whether the configuration drains it.
     drained: bool,
-    /// Whether the VM list or its own health answer says that it is leaving or starting.
+    /// Whether the VM list says that it is leaving.
+    listed_leaving: bool,
+    /// What its health answer says.
     reported: State,
 }
 
@@ -100,24 +102,9 @@
         Arc::new(Admission { clock, inner: Mutex::new(inner) })
     }
 
-    /// Takes over the servers, slots and drains of a configuration.
-    pub fn adopt(&self, cfg: &InForce, domain: &str, vm: &EntryVmId, gone: &BTreeSet<EntryVmId>) {
+    /// Takes over the services, servers and drains of a configuration.
+    pub fn adopt(&self, cfg: &InForce, domain: &str) {
         let mut inner = self.lock();
-        let vms: Vec<EntryVmId> = cfg.entry_vms_of(domain).map(|v| v.id.clone()).collect();
-        let servers: Vec<(ServerId, u32)> = cfg
-            .configuration
-            .inventory
-            .servers
-            .iter()
-            .filter(|s| &*s.domain == domain)
-            .map(|s| (s.id.clone(), s.slots))
-            .collect();
-        let parts = split(&servers, &vms, gone).remove(vm).unwrap_or_default();
-        if cfg.generation > inner.ledger.generation() {
-            inner.ledger.adopt(cfg.generation, parts);
-        } else {
-            inner.ledger.reassign(parts);
-        }
         let known = &cfg.configuration.inventory.services;
         inner.services.retain(|id, _| known.iter().any(|s| s.id == *id));
         for service in known {
@@ -129,13 +116,31 @@
         }
     }
 
-    /// Confirms that the peers count this VM and have settled `generation`.
-    pub fn confirm(self: &Arc<Self>, generation: u64) {
+    /// Sets the own parts of the servers' slots under a generation.
+    ///
+    /// `counted` tells whether the peers count this VM; `peers_settled`, whether everything that
+    /// they use fits their parts under this generation.
+    pub fn set_parts(
+        self: &Arc<Self>,
+        generation: Generation,
+        parts: Parts,
+        counted: bool,
+        peers_settled: bool,
+    ) {
         let now = self.clock.uptime();
         {
             let mut inner = self.lock();
-            inner.ledger.confirm(now);
-            inner.ledger.peers_settled(generation);
+            if generation > inner.ledger.generation() {
+                inner.ledger.adopt(generation, parts);
+            } else if generation == inner.ledger.generation() {
+                inner.ledger.reassign(parts);
+            }
+            if counted {
+                inner.ledger.confirm(now);
+            }
+            if peers_settled {
+                inner.ledger.peers_settled(generation);
+            }
         }
         self.pump_all();
     }
@@ -161,16 +166,25 @@
     }
 
     /// Records a server's health answer.
-    pub fn set_health(&self, server: &ServerId, state: State, report: Option<LoadReport>) {
-        let mut inner = self.lock();
-        for service in inner.services.values_mut() {
+    pub fn set_health(&self, server: &ServerId, state: State, report: LoadReport) {
+        self.change_server(server, |s| s.reported = state);
+        for service in self.lock().services.values_mut() {
+            service.selector.set_report(server, report);
+        }
+    }
+
+    /// Records what the VM list says about a server.
+    pub fn set_listed_leaving(&self, server: &str, leaving: bool) {
+        self.change_server(server, |s| s.listed_leaving = leaving);
+    }
+
+    fn change_server(&self, server: &str, change: impl Fn(&mut ServerState)) {
+        for service in self.lock().services.values_mut() {
+            let Some((id, _)) = service.servers.get_key_value(server) else { continue };
+            let id = id.clone();
             let Some(known) = service.servers.get_mut(server) else { continue };
-            known.reported = state;
-            let effective = known.effective();
-            service.selector.set_state(server, effective);
-            if let Some(report) = report {
-                service.selector.set_report(server, report);
-            }
+            change(known);
+            service.selector.set_state(&id, known.effective());
         }
     }
 
@@ -320,7 +334,7 @@
 
 impl ServerState {
     fn effective(&self) -> State {
-        if self.drained { State::Leaving } else { self.reported }
+        if self.drained || self.listed_leaving { State::Leaving } else { self.reported }
     }
 }
 
@@ -344,9 +358,13 @@
         let domain_drained = cfg.is_domain_drained(domain);
         let mut servers = BTreeMap::new();
         for server in cfg.servers_of(service, domain) {
-            let reported = self.servers.get(&server.id).map_or(State::Ready, |s| s.reported);
-            let drained = domain_drained || cfg.is_server_drained(&server.id);
-            let state = ServerState { address: server.address, drained, reported };
+            let known = self.servers.get(&server.id);
+            let state = ServerState {
+                address: server.address,
+                drained: domain_drained || cfg.is_server_drained(&server.id),
+                listed_leaving: known.is_some_and(|s| s.listed_leaving),
+                reported: known.map_or(State::Ready, |s| s.reported),
+            };
             servers.insert(server.id.clone(), state);
         }
         self.servers = servers;
--- /dev/null
+++ b/components/entry/src/agents/health.rs
@@ -0,0 +1,66 @@
+//! Health answers of the backend servers of this failure domain.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use config::ServerId;
+use http::Method;
+use http::client;
+use routing::server::{LoadReport, State};
+use serde::Deserialize;
+
+use super::short_exchange;
+use crate::node::Node;
+
+/// A server's health answer.
+#[derive(Debug, Deserialize)]
+struct Health {
+    /// State.
+    state: HealthState,
+    /// Requests being served.
+    busy: u32,
+    /// Requests that it serves at once.
+    slots: u32,
+}
+
+/// State in a health answer.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum HealthState {
+    Ready,
+    Leaving,
+    Starting,
+}
+
+/// Asks each server at each tick.
+pub async fn run(node: Arc<Node>, ticks: Receiver<Duration>) {
+    while ticks.recv().await.is_ok() {
+        let Some(cfg) = node.in_force() else { continue };
+        let domain = &node.settings.domain;
+        for server in cfg.configuration.inventory.servers.iter().filter(|s| s.domain == *domain) {
+            runtime::spawn(probe(node.clone(), server.id.clone(), server.address)).detach();
+        }
+    }
+}
+
+/// Asks one server; silence changes nothing, because requests show failures sooner.
+async fn probe(node: Arc<Node>, server: ServerId, address: std::net::SocketAddr) {
+    let Ok(req) = client::build(Method::Get, "/health") else { return };
+    let measured = node.now();
+    let health = async {
+        let mut res = client::request(address, req, &short_exchange()).await?;
+        client::parse_json::<Health>(&mut res).await
+    };
+    let Ok(health) = Box::pin(health).await else {
+        metrics::counter!("probes_failed_total").increment(1);
+        return;
+    };
+    let state = match health.state {
+        HealthState::Ready => State::Ready,
+        HealthState::Leaving => State::Leaving,
+        HealthState::Starting => State::Starting,
+    };
+    let report = LoadReport { measured, busy: health.busy, slots: health.slots };
+    node.admission.set_health(&server, state, report);
+}
--- /dev/null
+++ b/components/entry/src/agents/heartbeats.rs
@@ -0,0 +1,91 @@
+//! Heartbeats between the entry VMs of the domain.
+
+use std::sync::Arc;
+
+use async_channel::Receiver;
+use config::{EntryVmId, Generation};
+use membership::{Heard, Heartbeat, HeartbeatWire};
+use serde::{Deserialize, Serialize};
+
+use super::{configuration, short_exchange};
+use crate::node::Node;
+
+/// Path of heartbeats.
+pub const PATH: &str = "/peer/heartbeat";
+
+/// Heartbeat and the generation whose slot split its sender has settled.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Message {
+    /// Heartbeat.
+    pub heartbeat: HeartbeatWire,
+    /// Newest generation under which everything in use fits the sender's slots.
+    pub settled: Generation,
+}
+
+/// Sends heartbeats at each tick.
+pub async fn run(node: Arc<Node>, ticks: Receiver<std::time::Duration>) {
+    while ticks.recv().await.is_ok() {
+        let now = node.now();
+        let contacts = node.lock_membership().peers_to_contact(now, &mut fastrand::Rng::new());
+        for peer in contacts {
+            runtime::spawn(exchange(node.clone(), peer)).detach();
+        }
+        node.refresh_split();
+        node.admission.tick();
+    }
+}
+
+/// Sends one heartbeat and takes the peer's own in return.
+async fn exchange(node: Arc<Node>, peer: EntryVmId) {
+    let Some(address) = node.in_force().and_then(|c| c.entry_vm(&peer).map(|v| v.peer_address))
+    else {
+        return;
+    };
+    let message = own(&node);
+    let sign = |bytes: &[u8]| node.sign(bytes);
+    let answer: http::Result<Message> =
+        http::peer::call(address, PATH, &message, sign, &short_exchange()).await;
+    match answer {
+        Ok(message) => {
+            take(&node, message).await;
+        }
+        Err(report) => {
+            metrics::counter!("heartbeats_failed_total").increment(1);
+            log::debug!("event=heartbeat_failed peer={peer} error=\"{}\"", report.current_context());
+        }
+    }
+}
+
+/// Builds the own heartbeat.
+pub fn own(node: &Node) -> Message {
+    let generation = node.generation();
+    let free = node.admission.free_slots().values().sum();
+    let heartbeat = node.lock_membership().heartbeat(generation, free, node.now());
+    let settled = if node.admission.is_settled() { generation } else { 0 };
+    Message { heartbeat: HeartbeatWire::from(&heartbeat), settled }
+}
+
+/// Takes a peer's heartbeat.
+pub async fn take(node: &Arc<Node>, message: Message) {
+    let Ok(heartbeat) = Heartbeat::try_from(message.heartbeat) else {
+        metrics::counter!("heartbeats_invalid_total").increment(1);
+        return;
+    };
+    let heard = node.lock_membership().on_heartbeat(&heartbeat, node.now());
+    match heard {
+        Heard::Accepted | Heard::NewIncarnation => {
+            node.set_peer_settled(&heartbeat.vm, message.settled);
+            node.refresh_split();
+        }
+        Heard::OwnId => {
+            log::error!("event=duplicate_vm_id vm={} fix=\"give each VM its own id\"", heartbeat.vm);
+        }
+        _ => {}
+    }
+    if heartbeat.generation > node.generation() {
+        let address = node.in_force().and_then(|c| c.entry_vm(&heartbeat.vm).map(|v| v.peer_address));
+        if let Some(address) = address {
+            configuration::pull(node, address).await;
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/agents/mod.rs
@@ -0,0 +1,20 @@
+//! Periodic tasks of an entry VM. Each ends when its tick channel closes.
+
+pub mod configuration;
+pub mod digests;
+pub mod health;
+pub mod heartbeats;
+pub mod vm_list;
+
+use std::time::Duration;
+
+use http::client::ClientOptions;
+
+/// Limits of a short exchange with a peer or a server.
+pub(crate) fn short_exchange() -> ClientOptions {
+    ClientOptions {
+        connect_timeout: Duration::from_millis(500),
+        timeout: Duration::from_secs(1),
+        max_body: 1 << 20,
+    }
+}
--- /dev/null
+++ b/components/entry/src/bin/rosemaryglade-entry.rs
@@ -0,0 +1,60 @@
+//! Daemon of an entry VM.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Arg, Command, value_parser};
+use config::Settings;
+
+/// Exit code for settings that cannot be used.
+const FAULTS: u8 = 1;
+/// Exit code for a daemon that could not start.
+const FAILED: u8 = 7;
+/// Exit code for a file that cannot be read.
+const UNREADABLE: u8 = 5;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let matches = Command::new("rosemaryglade-entry")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Runs an entry VM: look-ups, relaying, membership and configuration")
+        .after_help("SIGTERM starts a graceful shutdown. See docs/OPERATING.md.")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Settings of this entry VM, JSON with comments"),
+        )
+        .get_matches();
+    let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
+    let settings = match read(&path) {
+        Ok(settings) => settings,
+        Err((code, message)) => {
+            eprintln!("{message}");
+            return code.into();
+        }
+    };
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{}: {report:?}", path.display());
+            FAILED.into()
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<Settings, (u8, String)> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| (UNREADABLE, format!("{name}: cannot be read: {e}")))?;
+    config::parse_settings(&name, &text).map_err(|e| (FAULTS, e.current_context().to_string()))
+}
+
+fn run(settings: Settings) -> entry::Result<()> {
+    runtime::recorder::install();
+    let stop = runtime::signals::termination()
+        .map_err(|e| error_stack::Report::new(entry::Error::Signals).attach(e))?;
+    runtime::block_on(settings.threads, entry::run(settings, stop))
+}
--- a/components/entry/src/in_force.rs
+++ b/components/entry/src/in_force.rs
@@ -1,12 +1,14 @@
 //! The configuration in force, with indexes for the request path.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::sync::Arc;
 
 use config::{
     BackendServer, Class, Configuration, DomainId, EntryVm, EntryVmId, FailureDomain, Generation,
     RegionId, Rules, ServiceId,
 };
+use routing::blocks::BlockMap;
 
 /// An accepted configuration and what the request path needs of it.
 #[derive(Debug)]
@@ -21,6 +23,10 @@
     pub configuration: Configuration,
     /// Class per service.
     classes: BTreeMap<ServiceId, Class>,
+    /// Client blocks.
+    blocks: BlockMap,
+    /// Failure domain per site of the client blocks.
+    sites: Vec<DomainId>,
     /// Region per failure domain.
     regions: BTreeMap<DomainId, RegionId>,
 }
@@ -37,7 +43,10 @@
         let classes = inventory.services.iter().map(|s| (s.id.clone(), s.class)).collect();
         let regions =
             inventory.domains.iter().map(|d| (d.id.clone(), d.region.clone())).collect();
-        InForce { generation, object, bytes, classes, regions, configuration }
+        // The checks of the configuration have already refused invalid blocks.
+        let (blocks, sites) =
+            BlockMap::from_inventory(&inventory.client_blocks).unwrap_or_default();
+        InForce { generation, object, bytes, classes, blocks, sites, regions, configuration }
     }
 
     /// Returns the rules.
@@ -55,6 +64,12 @@
         self.regions.get(domain)
     }
 
+    /// Returns the failure domain that the block of a client names.
+    pub fn domain_of_client(&self, client: IpAddr) -> Option<&DomainId> {
+        let site = self.blocks.look_up(client)?;
+        self.sites.get(usize::from(site))
+    }
+
     /// Returns the entry VM with this id.
     pub fn entry_vm(&self, id: &str) -> Option<&EntryVm> {
         self.configuration.inventory.entry_vms.iter().find(|v| &*v.id == id)
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,1 +1,115 @@
 //! An entry VM: caller, peer and operator listeners, relay, look-up and agents.
+
+pub mod admission;
+mod agents;
+mod error;
+pub mod exchange;
+mod in_force;
+mod listeners;
+mod look_up;
+mod node;
+mod operator;
+mod peer;
+mod relay;
+mod request;
+mod split;
+mod steer;
+mod work;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_net::TcpListener;
+use config::Settings;
+use error_stack::ResultExt;
+use http::server::{ServerOptions, serve};
+use runtime::TimerService;
+
+pub use error::{Error, Result};
+pub use node::Node;
+pub use request::{DEADLINE_HEADER, HOUSE_HEADER, KEY_HEADER, SERVICE_HEADER, TICKET_HEADER};
+
+/// Time between two rounds of heartbeats.
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two looks at whether the head row is due.
+const CONFIGURATION_PERIOD: Duration = Duration::from_millis(250);
+/// Time between two reads of digests, server health and the VM list.
+const SLOW_PERIOD: Duration = Duration::from_secs(1);
+/// Time between two checks of a graceful shutdown.
+const STOP_CHECK_PERIOD: Duration = Duration::from_millis(50);
+
+/// Runs an entry VM until `stop` closes, then shuts it down gracefully.
+pub async fn run(settings: Settings, stop: Receiver<()>) -> Result<()> {
+    let node = Node::new(settings)?;
+    let callers = listen(node.settings.caller_address).await?;
+    let peers = listen(node.settings.peer_address).await?;
+    let operators = listen(node.settings.operator_address).await?;
+    let (listening, listeners_stop) = async_channel::bounded::<()>(1);
+    let options = ServerOptions {
+        max_body: node.settings.max_request_body,
+        ..ServerOptions::default()
+    };
+    let peer_options =
+        ServerOptions { max_body: node.settings.max_request_body + (1 << 16), ..options.clone() };
+    let n = node.clone();
+    let callers = runtime::spawn(serve(callers, options.clone(), listeners_stop.clone(), move |r| {
+        listeners::caller(n.clone(), r)
+    }));
+    let n = node.clone();
+    let peers = runtime::spawn(serve(peers, peer_options, listeners_stop.clone(), move |r| {
+        listeners::peer(n.clone(), r)
+    }));
+    let n = node.clone();
+    let operators = runtime::spawn(serve(operators, options, listeners_stop, move |r| {
+        listeners::operator(n.clone(), r)
+    }));
+    let timer = TimerService::start(node.clock);
+    start_agents(&node, &timer);
+    log::info!(
+        "event=started vm={} domain={} callers={} peers={} operators={}",
+        node.settings.id,
+        node.settings.domain,
+        node.settings.caller_address,
+        node.settings.peer_address,
+        node.settings.operator_address
+    );
+    // The channel only closes; nothing is sent on it.
+    let _ = stop.recv().await;
+    shut_down(&node, &timer).await;
+    drop(listening);
+    callers.await;
+    peers.await;
+    operators.await;
+    log::info!("event=stopped vm={}", node.settings.id);
+    Ok(())
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.change_context(Error::Listen).attach_with(|| address)
+}
+
+fn start_agents(node: &Arc<Node>, timer: &TimerService) {
+    use agents::{configuration, digests, health, heartbeats, vm_list};
+    let n = || node.clone();
+    runtime::spawn(configuration::run(n(), timer.subscribe(CONFIGURATION_PERIOD))).detach();
+    runtime::spawn(heartbeats::run(n(), timer.subscribe(HEARTBEAT_PERIOD))).detach();
+    runtime::spawn(digests::run(n(), timer.subscribe(SLOW_PERIOD))).detach();
+    runtime::spawn(health::run(n(), timer.subscribe(SLOW_PERIOD))).detach();
+    runtime::spawn(vm_list::run(n(), timer.subscribe(SLOW_PERIOD))).detach();
+}
+
+/// Takes no new work, and waits until executions have ended and the last ticket has expired.
+async fn shut_down(node: &Arc<Node>, timer: &TimerService) {
+    node.begin_stop();
+    log::info!("event=stopping vm={}", node.settings.id);
+    let ticks = timer.subscribe(STOP_CHECK_PERIOD);
+    while let Ok(now) = ticks.recv().await {
+        let work = node.lock_work();
+        let is_needed = work.records.last_expiry().is_some_and(|expiry| now < expiry);
+        if work.records.running() == 0 && !is_needed {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/listeners.rs
@@ -0,0 +1,124 @@
+//! Listeners for callers, entry VMs and operators.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::Class;
+use http::codes::{self, Code};
+use http::{Method, Request, Response};
+
+use crate::agents::{configuration, digests, heartbeats};
+use crate::node::Node;
+use crate::request::{Meta, Outgoing};
+use crate::{look_up, operator, peer, relay, steer, work};
+
+/// Path of look-ups.
+pub const LOOK_UP_PATH: &str = "/lookup";
+
+/// Answers a caller.
+pub async fn caller(node: Arc<Node>, req: Request) -> Response {
+    if req.url().path() == LOOK_UP_PATH && req.method() == Method::Get {
+        return look_up::serve(&node, &req);
+    }
+    match read(&node, &req) {
+        Ok(meta) => serve(&node, meta, req).await,
+        Err(res) => res,
+    }
+}
+
+fn read(node: &Node, req: &Request) -> Result<Meta, Response> {
+    let Some(cfg) = node.in_force() else {
+        return Err(codes::refusal(Code::NoConfiguration, "try another entry VM"));
+    };
+    let default = Duration::from_millis(cfg.rules().default_deadline_ms);
+    Meta::read(req, node.now(), default, |s| cfg.class(s))
+        .map_err(|(code, detail)| codes::refusal(code, detail))
+}
+
+async fn serve(node: &Arc<Node>, meta: Meta, req: Request) -> Response {
+    metrics::counter!("requests_total", "service" => meta.service.to_string()).increment(1);
+    let outgoing = Outgoing::take(req).await;
+    match meta.class {
+        Class::Binding => work::serve(node, meta, outgoing).await,
+        _ if node.is_stopping() => refuse_stopping(node),
+        Class::Idempotent | Class::Deferrable => steer::serve(node, &meta, &outgoing).await,
+    }
+}
+
+fn refuse_stopping(node: &Node) -> Response {
+    let other = look_up::other_vm(node);
+    let mut res = codes::refusal(Code::Stopping, "use another entry VM");
+    if let Some(address) = other {
+        res.insert_header("x-entry-vm", address.to_string());
+    }
+    res
+}
+
+/// Answers another entry VM.
+pub async fn peer(node: Arc<Node>, mut req: Request) -> Response {
+    let path = req.url().path().to_owned();
+    match path.as_str() {
+        peer::WORK_PATH | peer::RELAY_PATH => relayed(node, &path, req).await,
+        heartbeats::PATH => match read_message(&node, &mut req).await {
+            Ok(message) => {
+                heartbeats::take(&node, message).await;
+                http::peer::answer(&heartbeats::own(&node))
+            }
+            Err(res) => res,
+        },
+        digests::PATH => match read_message::<digests::Question>(&node, &mut req).await {
+            Ok(_) => http::peer::answer(&digests::own(&node)),
+            Err(res) => res,
+        },
+        configuration::PATH => match read_message(&node, &mut req).await {
+            Ok(question) => http::peer::answer(&configuration::answer(&node, &question)),
+            Err(res) => res,
+        },
+        configuration::NOTICE_PATH => match read_message(&node, &mut req).await {
+            Ok(notice) => {
+                configuration::take_notice(&node, &notice);
+                http::peer::answer(&())
+            }
+            Err(res) => res,
+        },
+        _ => codes::refusal(Code::NotFound, &path),
+    }
+}
+
+async fn read_message<T: serde::de::DeserializeOwned>(
+    node: &Node,
+    req: &mut Request,
+) -> Result<T, Response> {
+    http::peer::read(req, |signature, bytes| node.verify(signature, bytes)).await.map_err(|e| {
+        metrics::counter!("peer_messages_refused_total").increment(1);
+        codes::refusal(Code::BadPeer, &e.current_context().to_string())
+    })
+}
+
+/// Serves a request that another entry VM passed on.
+async fn relayed(node: Arc<Node>, path: &str, req: Request) -> Response {
+    let req = match peer::unpack(&node, path, req).await {
+        Ok(req) => req,
+        Err(res) => return res,
+    };
+    let meta = match read(&node, &req) {
+        Ok(meta) => meta,
+        Err(res) => return res,
+    };
+    if path == peer::WORK_PATH {
+        return serve(&node, meta, req).await;
+    }
+    if node.is_stopping() {
+        return refuse_stopping(&node);
+    }
+    let outgoing = Outgoing::take(req).await;
+    match meta.class {
+        Class::Binding => work::serve_relayed(&node, &meta, &outgoing).await,
+        _ => relay::serve(&node, &meta, &outgoing).await.unwrap_or_else(relay::refuse),
+    }
+}
+
+/// Answers an operator.
+pub async fn operator(node: Arc<Node>, req: Request) -> Response {
+    operator::serve(&node, &req)
+}
--- a/components/entry/src/look_up.rs
+++ b/components/entry/src/look_up.rs
@@ -159,9 +159,7 @@
     if owner == node.identity {
         node.lock_work().records.note_expiry(expires);
     }
-    let mut nonce = [0; 16];
-    fastrand::Rng::new().fill(&mut nonce);
-    let ticket = Ticket::mint(&node.keys, service, &owner, expires, nonce).ok()?;
+    let ticket = Ticket::mint(&node.keys, service, &owner, expires, node.next_nonce()).ok()?;
     Some(ticket.encode())
 }
 
@@ -180,3 +178,16 @@
     let vm = cfg.entry_vm(id)?;
     Some(NamedVm { id: vm.id.clone(), address: vm.caller_address })
 }
+
+/// Returns another entry VM for a caller that this one refuses.
+pub fn other_vm(node: &Node) -> Option<SocketAddr> {
+    let cfg = node.in_force()?;
+    let candidates = node.lock_membership().look_up_candidates(node.now());
+    let other = candidates.iter().find(|id| **id != node.identity.vm);
+    let other = other.and_then(|id| cfg.entry_vm(id));
+    let elsewhere = || {
+        let mut vms = cfg.configuration.inventory.entry_vms.iter();
+        vms.find(|v| v.domain != node.settings.domain && !cfg.is_domain_drained(&v.domain))
+    };
+    other.or_else(elsewhere).map(|v| v.caller_address)
+}
--- a/components/entry/src/node.rs
+++ b/components/entry/src/node.rs
@@ -1,7 +1,7 @@
 //! State of one entry VM process.
 
-use std::collections::BTreeSet;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -9,11 +9,14 @@
 use config::{Configuration, EntryVmId, Generation, Settings};
 use error_stack::ResultExt;
 use http::peer::Signature;
+use membership::{MemberSettings, Membership, VmState};
+use platform::{Client, ClientSettings};
 use runtime::Clock;
 
 use crate::admission::Admission;
 use crate::error::{Error, Result};
 use crate::in_force::InForce;
+use crate::split::own_parts;
 use crate::work::WorkState;
 
 /// State shared by all tasks of the process.
@@ -30,6 +33,14 @@
     pub admission: Arc<Admission>,
     /// Binding work.
     pub work: Mutex<WorkState>,
+    /// Client of the platform.
+    pub platform: Client,
+    /// Entry VMs of the domain and digests of the others.
+    membership: Mutex<Membership>,
+    /// Newest generation whose slot split each peer has settled.
+    settled: Mutex<BTreeMap<EntryVmId, Generation>>,
+    /// Tickets issued by this process.
+    tickets: AtomicU64,
     /// Configuration in force.
     in_force: RwLock<Option<Arc<InForce>>>,
     /// Set by the graceful shutdown.
@@ -43,7 +54,15 @@
         let clock = Clock::start();
         let identity =
             Identity { vm: settings.id.clone(), incarnation: fastrand::u64(1..u64::MAX) };
+        let membership = new_membership(&identity, [], clock.uptime());
         Ok(Arc::new(Node {
+            platform: Client::new(ClientSettings {
+                addresses: settings.platform.clone(),
+                ..ClientSettings::default()
+            }),
+            membership: Mutex::new(membership),
+            settled: Mutex::new(BTreeMap::new()),
+            tickets: AtomicU64::new(0),
             clock,
             identity,
             keys,
@@ -77,21 +96,73 @@
         object: &str,
         bytes: Arc<[u8]>,
         configuration: Configuration,
-        gone: &BTreeSet<EntryVmId>,
     ) -> bool {
         let next = Arc::new(InForce::new(generation, object.into(), bytes, configuration));
         let mut current = self.in_force.write().unwrap_or_else(PoisonError::into_inner);
         if current.as_ref().is_some_and(|c| c.generation >= generation) {
             return false;
         }
-        self.admission.adopt(&next, &self.settings.domain, &self.identity.vm, gone);
+        self.admission.adopt(&next, &self.settings.domain);
+        self.adopt_members(&next, current.is_none());
         *current = Some(next);
         drop(current);
+        self.refresh_split();
         metrics::gauge!("configuration_generation").set(generation as f64);
         log::info!("event=configuration_adopted generation={generation} object={object}");
         true
     }
 
+    fn adopt_members(&self, cfg: &InForce, is_first: bool) {
+        let now = self.now();
+        let domain = &self.settings.domain;
+        let vms = cfg.entry_vms_of(domain).map(|v| v.id.clone());
+        let mut membership = self.lock_membership();
+        if is_first {
+            // Without the names of its peers the VM would count itself alone and use all slots.
+            let vms: Vec<EntryVmId> = vms.collect();
+            *membership = new_membership(&self.identity, vms, now);
+            membership.set_state(VmState::Ready);
+        } else {
+            membership.on_configuration(vms, now);
+            membership.digests.retain(|id| cfg.domains().iter().any(|d| &*d.id == id));
+        }
+    }
+
+    /// Takes the own slots from the members that the peers agree on.
+    pub fn refresh_split(&self) {
+        let Some(cfg) = self.in_force() else { return };
+        let members = self.lock_membership().split_members(self.now());
+        let parts = own_parts(&cfg, &self.settings.domain, &self.identity.vm, &members);
+        let settled = self.settled.lock().unwrap_or_else(PoisonError::into_inner);
+        let peers_settled = members.sets.iter().flatten().all(|vm| {
+            *vm == self.identity.vm || settled.get(vm).is_some_and(|g| *g >= cfg.generation)
+        });
+        drop(settled);
+        let counted = !members.sets.is_empty();
+        self.admission.set_parts(cfg.generation, parts, counted, peers_settled);
+    }
+
+    /// Records the newest generation whose slot split a peer has settled.
+    pub fn set_peer_settled(&self, vm: &EntryVmId, generation: Generation) {
+        let mut settled = self.settled.lock().unwrap_or_else(PoisonError::into_inner);
+        settled.insert(vm.clone(), generation);
+    }
+
+    /// Returns a nonce that no other ticket has.
+    pub fn next_nonce(&self) -> [u8; 16] {
+        let number = self.tickets.fetch_add(1, Ordering::Relaxed);
+        let mut nonce = [0; 16];
+        nonce[..8].copy_from_slice(&fastrand::u64(..).to_be_bytes());
+        // Two tickets of one process never share a nonce, even if the random numbers repeat.
+        nonce[8..].copy_from_slice(&number.to_be_bytes());
+        nonce
+    }
+
+    /// Locks the membership.
+    pub fn lock_membership(&self) -> MutexGuard<'_, Membership> {
+        self.membership.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Tells whether the process is stopping.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
@@ -102,6 +173,7 @@
         self.stopping.store(true, Ordering::Release);
         let now = self.now();
         self.lock_work().records.stop(now + STOP_SEND_LIMIT);
+        self.lock_membership().set_state(VmState::Leaving);
     }
 
     /// Locks the state of binding work.
@@ -126,5 +198,14 @@
     }
 }
 
+fn new_membership(
+    identity: &Identity,
+    configured: impl IntoIterator<Item = EntryVmId>,
+    now: Duration,
+) -> Membership {
+    let settings = MemberSettings::default();
+    Membership::new(settings, identity.vm.clone(), identity.incarnation, configured, now)
+}
+
 /// Time after the start of a shutdown in which accepted work may still be sent.
 const STOP_SEND_LIMIT: Duration = Duration::from_secs(30);
--- a/components/entry/src/work.rs
+++ b/components/entry/src/work.rs
@@ -17,6 +17,7 @@
 use crate::admission::{Avoid, Slot};
 use crate::exchange::{self, AnswerLimits, Attempt, NotRun};
 use crate::node::Node;
+use crate::{peer, steer};
 use crate::request::{Meta, Outgoing, WorkIdentity};
 
 /// Longest answer to binding work in bytes.
@@ -104,7 +105,7 @@
             execute(node, work, meta, outgoing).await
         }
         Verdict::OtherOwner(owner, _) => {
-            crate::peer::forward_to_owner(node, &owner, meta, outgoing).await
+            peer::forward_to_owner(node, &owner, meta, outgoing).await
         }
         Verdict::OtherIncarnation => {
             codes::refusal(Code::OwnerGone, "the entry VM has restarted since the look-up")
@@ -188,7 +189,13 @@
     done: Sender<()>,
 ) {
     let id = permit.id();
-    let result = Box::pin(send_once(&node, &permit, &meta, &outgoing)).await;
+    let check = |node: &Node, event| check_send(node, &permit, event);
+    let mut result = Box::pin(send_once(&node, &check, &meta, &outgoing)).await;
+    if let Err(code) = result
+        && steer::may_be_served_elsewhere(code)
+    {
+        result = Box::pin(send_elsewhere(&node, &check, &meta, &outgoing, code)).await;
+    }
     let now = node.now();
     let mut state = node.lock_work();
     let end = match result {
@@ -217,10 +224,71 @@
     drop(done);
 }
 
+/// What the record of the work has to know about a send.
+#[derive(Clone, Copy, Debug)]
+enum SendEvent {
+    /// The first byte is about to be written.
+    About,
+    /// The server surely did not run what was sent.
+    NotExecuted,
+}
+
+/// Tells the record of the work about a send; an error forbids it.
+fn check_send(node: &Node, permit: &Permit, event: SendEvent) -> Result<(), Code> {
+    let mut state = node.lock_work();
+    match event {
+        SendEvent::About => state.records.about_to_send(permit, node.now()).map_err(code_of),
+        SendEvent::NotExecuted => {
+            state.records.surely_not_executed(permit);
+            Ok(())
+        }
+    }
+}
+
+/// Serves binding work that the owner in another failure domain sends here, once.
+pub async fn serve_relayed(node: &Arc<Node>, meta: &Meta, outgoing: &Outgoing) -> Response {
+    // The owner keeps the record. Here only the deadline and the shutdown forbid a send.
+    let check = |node: &Node, event| match event {
+        SendEvent::About if node.now() >= meta.deadline => Err(Code::DeadlinePassed),
+        SendEvent::About if node.is_stopping() => Err(Code::Stopping),
+        _ => Ok(()),
+    };
+    match Box::pin(send_once(node, &check, meta, outgoing)).await {
+        Ok(stored) => stored.response(),
+        Err(code) => codes::refusal(code, ""),
+    }
+}
+
+/// Sends the request to another failure domain.
+async fn send_elsewhere(
+    node: &Arc<Node>,
+    check: &(impl Fn(&Node, SendEvent) -> Result<(), Code> + Sync),
+    meta: &Meta,
+    outgoing: &Outgoing,
+    mut code: Code,
+) -> Result<Stored, Code> {
+    for address in steer::other_domains(node, meta) {
+        check(node, SendEvent::About)?;
+        match peer::relay_to(node, address, meta, outgoing).await {
+            Ok(res) => return from_elsewhere(node, meta, res).await,
+            Err(other) => code = other,
+        }
+        check(node, SendEvent::NotExecuted)?;
+    }
+    Err(code)
+}
+
+/// Reads the answer of another failure domain; its own refusals here mean an unknown outcome.
+async fn from_elsewhere(node: &Node, meta: &Meta, res: Response) -> Result<Stored, Code> {
+    let is_refusal = res.header(codes::CODE_HEADER).is_some();
+    let stored = Stored::take(res, meta.deadline, node).await.ok_or(Code::AnswerCut)?;
+    if is_refusal { Err(Code::ConnectionLost) } else { Ok(stored) }
+}
+
 /// Sends the request to servers until one may have seen it.
 async fn send_once(
     node: &Arc<Node>,
-    permit: &Permit,
+    check: &(impl Fn(&Node, SendEvent) -> Result<(), Code> + Sync),
     meta: &Meta,
     outgoing: &Outgoing,
 ) -> Result<Stored, Code> {
@@ -228,11 +296,11 @@
     loop {
         let slot = node.admission.acquire(meta, avoid.clone()).await?;
         let server = slot.server().clone();
-        let not_run = match send_to(node, permit, meta, outgoing, slot).await? {
+        let not_run = match send_to(node, check, meta, outgoing, slot).await? {
             Ok(stored) => return Ok(stored),
             Err(not_run) => not_run,
         };
-        node.lock_work().records.surely_not_executed(permit);
+        check(node, SendEvent::NotExecuted)?;
         avoid.push(server);
         let (reason, code) = match not_run {
             NotRun::Connect => (Reason::Connect, Code::NoServer),
@@ -249,7 +317,7 @@
 /// The outer error ends the attempt; the inner one says that the server did not run it.
 async fn send_to(
     node: &Arc<Node>,
-    permit: &Permit,
+    check: &(impl Fn(&Node, SendEvent) -> Result<(), Code> + Sync),
     meta: &Meta,
     outgoing: &Outgoing,
     mut slot: Slot,
@@ -260,7 +328,7 @@
         return Ok(Err(NotRun::Connect));
     };
     // The process may have been paused since the slot was taken: check again before the send.
-    node.lock_work().records.about_to_send(permit, node.now()).map_err(code_of)?;
+    check(node, SendEvent::About)?;
     let remaining = meta.deadline.saturating_sub(node.now());
     let limits = AnswerLimits { max_body: MAX_ANSWER, buffered: MAX_ANSWER };
     match exchange::send_on(tcp, outgoing.build(remaining), remaining, limits).await {
--- a/components/http/src/peer.rs
+++ b/components/http/src/peer.rs
@@ -35,8 +35,7 @@
     let mut req = build(Method::Post, path)?;
     let body = rmp_serde::to_vec_named(message).change_context(Error::BadBody)?;
     let signature = sign(&signed_bytes(path, &body));
-    req.insert_header(KEY_HEADER, signature.key.to_string());
-    req.insert_header(MAC_HEADER, hex(&signature.mac));
+    signature.insert(&mut req);
     req.set_body(Body::from_bytes(body));
     let mut res = request(addr, req, options).await?;
     let bytes = res
@@ -59,7 +58,7 @@
         .body_bytes()
         .await
         .map_err(|_| Report::new(Error::Truncated))?;
-    let signature = signature(req).ok_or(Error::BadKey)?;
+    let signature = Signature::read(req).ok_or(Error::BadKey)?;
     if !verify(&signature, &signed_bytes(&path, &body)) {
         bail!(Error::BadKey);
     }
@@ -75,15 +74,6 @@
     res
 }
 
-fn signature(req: &Request) -> Option<Signature> {
-    let key = req.header(KEY_HEADER)?.as_str().parse().ok()?;
-    let mac = blake3::Hash::from_hex(req.header(MAC_HEADER)?.as_str()).ok()?;
-    Some(Signature {
-        key,
-        mac: *mac.as_bytes(),
-    })
-}
-
 fn signed_bytes(path: &str, body: &[u8]) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(path.len() + 1 + body.len());
     bytes.extend_from_slice(path.as_bytes());
@@ -95,3 +85,24 @@
 fn hex(mac: &[u8; 32]) -> String {
     blake3::Hash::from_bytes(*mac).to_hex().to_string()
 }
+
+impl Signature {
+    /// Writes the signature into the headers.
+    pub fn insert(&self, req: &mut Request) {
+        req.insert_header(KEY_HEADER, self.key.to_string());
+        req.insert_header(MAC_HEADER, hex(&self.mac));
+    }
+
+    /// Reads the signature from the headers.
+    pub fn read(req: &Request) -> Option<Signature> {
+        let key = req.header(KEY_HEADER)?.as_str().parse().ok()?;
+        let mac = blake3::Hash::from_hex(req.header(MAC_HEADER)?.as_str()).ok()?;
+        Some(Signature { key, mac: *mac.as_bytes() })
+    }
+
+    /// Removes the signature from the headers.
+    pub fn remove(req: &mut Request) {
+        req.remove_header(KEY_HEADER);
+        req.remove_header(MAC_HEADER);
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -24,6 +24,10 @@
         command: cmd::plan::command,
         run: cmd::plan::run,
     },
+    Subcommand {
+        command: cmd::demo::command,
+        run: cmd::demo::run,
+    },
 ];
 
 /// Builds the whole command line.
