--- a/components/config/src/check/rules.rs
+++ b/components/config/src/check/rules.rs
@@ -83,7 +83,8 @@
             faults.error(&join(path, domain), message, "give a number from 0 to 1");
         }
     }
-    let sum: f64 = shares.values().sum();
+    // The sum of no shares is a negative zero, which would be printed as such.
+    let sum = shares.values().sum::<f64>() + 0.0;
     if (sum - 1.0).abs().is_nan() || (sum - 1.0).abs() > SHARE_TOLERANCE {
         faults.error(
             path,
--- a/components/config/src/encode.rs
+++ b/components/config/src/encode.rs
@@ -64,7 +64,6 @@
         &mut rules.drains.regions,
     ] {
         names.sort_unstable();
-        names.dedup();
     }
     let add_zero = |shares: &mut BTreeMap<_, f64>| shares.values_mut().for_each(|s| *s += 0.0);
     for shift in rules.shifts.values_mut() {
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -1,6 +1,7 @@
 //! Inventory, rules and process settings: parsing, checks, plans and shift paths.
 
 mod check;
+mod ease;
 mod edit;
 mod encode;
 mod fault;
@@ -19,6 +20,7 @@
 mod walk;
 
 pub use check::check;
+pub use ease::{ease_shifts, rebase_shifts};
 pub use edit::{Error as EditError, Target, domain_is_drained, drain, is_drained, undrain};
 pub use encode::{canonical, encode, object_name};
 pub use fault::{Fault, Severity};
@@ -37,7 +39,7 @@
 pub use rules::{Class, Drains, Rules, Shift, ShiftReason};
 pub use settings::{KeySettings, Settings};
 pub use shift::{
-    Shares, cap_per_minute, moved_share, rebase_shifts, share_at, shares, shift_end_ms, shift_to,
+    Shares, cap_per_minute, moved_share, share_at, shares, shift_end_ms, shift_to, slot_shares,
     slots,
 };
 
--- a/components/config/src/near.rs
+++ b/components/config/src/near.rs
@@ -5,26 +5,35 @@
 /// Names suggested from a longer list.
 const SUGGESTIONS: usize = 5;
 
-/// Known names nearest to `name`, nearest first.
+/// Known names nearest to `name`, nearest first; all of them if they are few.
 pub(crate) fn near<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
-    let mut all: Vec<(usize, &str)> = known.into_iter().map(|k| (distance(name, k), k)).collect();
-    all.sort_unstable();
-    all.dedup();
-    let keep = if all.len() <= LIST_ALL {
-        all.len()
-    } else {
-        SUGGESTIONS
-    };
-    all.into_iter().take(keep).map(|(_, k)| k).collect()
+    let mut all = by_distance(name, known);
+    if all.len() > LIST_ALL {
+        all.truncate(SUGGESTIONS);
+    }
+    all
 }
 
 /// Text of a fix that lists the nearest known names.
 pub(crate) fn use_one_of<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> String {
-    let list = near(name, known);
-    if list.is_empty() {
+    let mut all = by_distance(name, known);
+    if all.is_empty() {
         return "add it to the inventory first; none is known".into();
     }
-    format!("use one of: {}", list.join(", "))
+    if all.len() <= LIST_ALL {
+        return format!("use one of: {}", all.join(", "));
+    }
+    let more = all.len() - SUGGESTIONS;
+    all.truncate(SUGGESTIONS);
+    format!("use one of: {} (and {more} more)", all.join(", "))
+}
+
+/// Known names without repetitions, nearest first.
+fn by_distance<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut all: Vec<(usize, &str)> = known.into_iter().map(|k| (distance(name, k), k)).collect();
+    all.sort_unstable();
+    all.dedup();
+    all.into_iter().map(|(_, k)| k).collect()
 }
 
 /// Edit distance (insertions, deletions, substitutions) in characters.
--- a/components/config/src/plan.rs
+++ b/components/config/src/plan.rs
@@ -6,7 +6,7 @@
 use crate::edit::Target;
 use crate::ids::{DomainId, ServiceId};
 use crate::inventory::Inventory;
-use crate::rules::Drains;
+use crate::rules::{Drains, ShiftReason};
 use crate::shift::{cap_per_minute, moved_share, shares, shift_end_ms, slots};
 
 /// Excess over a cap that is put down to rounding.
@@ -49,19 +49,26 @@
     pub domains: Vec<DomainPlan>,
     /// Share of the traffic that moves at once when the change takes effect.
     pub step: f64,
+    /// Share that moves within the minute that starts with the change.
+    pub moved_after: f64,
     /// Largest share that moves within any minute that contains the change.
     pub moved_in_a_minute: f64,
-    /// Largest share that may move in a minute.
-    pub cap_per_minute: f64,
+    /// Largest share that may move per minute before the change.
+    pub cap_before: f64,
+    /// Largest share that may move per minute after the change.
+    pub cap_after: f64,
     /// Platform time at which the shift in force afterwards is complete; `None` without a shift or
     /// if it never is.
     pub end_ms: Option<u64>,
 }
 
 impl ServicePlan {
-    /// True if more traffic moves than the cap allows.
+    /// True if more traffic moves than the caps allow. Movement before the change was made under
+    /// the old cap, so a minute that contains the change is held to the larger of the two.
     pub fn passes_cap(&self) -> bool {
-        self.moved_in_a_minute > self.cap_per_minute + CAP_TOLERANCE
+        let both = self.cap_before.max(self.cap_after);
+        self.moved_after > self.cap_after + CAP_TOLERANCE
+            || self.moved_in_a_minute > both + CAP_TOLERANCE
     }
 }
 
@@ -123,9 +130,7 @@
     now_ms: u64,
 ) -> ServicePlan {
     let shift = after.rules.shifts.get(service);
-    let cap = shift.map_or(after.rules.shift_cap_per_minute, |shift| {
-        cap_per_minute(&after.rules, shift.reason)
-    });
+    let cap_after = service_cap(after, service);
     let (old, new) = (
         shares(before, service, now_ms),
         shares(after, service, now_ms),
@@ -156,9 +161,14 @@
         } else {
             0.0
         },
-        moved_in_a_minute: moved_in_a_minute(before, after, service, now_ms),
-        cap_per_minute: cap,
-        end_ms: shift.and_then(|shift| shift_end_ms(shift, cap)),
+        moved_after: moved_around(before, after, service, now_ms, 0),
+        moved_in_a_minute: (0..=WINDOW_MS)
+            .step_by(STEP_MS as usize)
+            .map(|ms| moved_around(before, after, service, now_ms, ms))
+            .fold(0.0, f64::max),
+        cap_before: service_cap(before, service),
+        cap_after,
+        end_ms: shift.and_then(|shift| shift_end_ms(shift, cap_after)),
     }
 }
 
@@ -167,13 +177,24 @@
     shares.values().any(|s| *s > 0.0)
 }
 
-/// Largest movement in any window around the change: the movement of the old path up to the
-/// change, the step, and the movement of the new path for the rest of the window.
-fn moved_in_a_minute(
+/// Cap of a service's shift, or of a planned one if it has none.
+fn service_cap(configuration: &Configuration, service: &str) -> f64 {
+    let rules = &configuration.rules;
+    let reason = rules
+        .shifts
+        .get(service)
+        .map_or(ShiftReason::Planned, |shift| shift.reason);
+    cap_per_minute(rules, reason)
+}
+
+/// Movement in the window that starts `ms_before` the change: that of the old path up to the
+/// change, the step, and that of the new path for the rest of the window.
+fn moved_around(
     before: &Configuration,
     after: &Configuration,
     service: &str,
     now_ms: u64,
+    ms_before: u64,
 ) -> f64 {
     let (old, new) = (
         shares(before, service, now_ms),
@@ -182,16 +203,9 @@
     if !carries(&old) || !carries(&new) {
         return 0.0;
     }
-    let step = moved_share(&old, &new);
-    let moved = |ms_before: u64| {
-        let earlier = shares(before, service, now_ms.saturating_sub(ms_before));
-        let later = shares(after, service, now_ms.saturating_add(WINDOW_MS - ms_before));
-        moved_share(&earlier, &old) + step + moved_share(&new, &later)
-    };
-    (0..=WINDOW_MS)
-        .step_by(STEP_MS as usize)
-        .map(moved)
-        .fold(0.0, f64::max)
+    let earlier = shares(before, service, now_ms.saturating_sub(ms_before));
+    let later = shares(after, service, now_ms.saturating_add(WINDOW_MS - ms_before));
+    moved_share(&earlier, &old) + moved_share(&old, &new) + moved_share(&new, &later)
 }
 
 /// All drained objects.
--- a/components/config/src/print.rs
+++ b/components/config/src/print.rs
@@ -58,7 +58,7 @@
             )?;
         }
         let (step, moved) = (self.step * 100.0, self.moved_in_a_minute * 100.0);
-        let cap = self.cap_per_minute * 100.0;
+        let cap = self.cap_after * 100.0;
         write!(
             f,
             "  moves {step:.2} % at once, {moved:.2} % in a minute, cap {cap:.2} %"
--- a/components/config/src/shift.rs
+++ b/components/config/src/shift.rs
@@ -148,13 +148,8 @@
     slots
 }
 
-/// Shares in force for a service at a platform time: those of its shift, else in proportion to the
-/// slots in use. All are 0 if no slot is in use.
-pub fn shares(configuration: &Configuration, service: &str, now_ms: u64) -> Shares {
-    let rules = &configuration.rules;
-    if let Some(shift) = rules.shifts.get(service) {
-        return share_at(shift, cap_per_minute(rules, shift.reason), now_ms);
-    }
+/// Shares in proportion to the slots in use. All are 0 if no slot is in use.
+pub fn slot_shares(configuration: &Configuration, service: &str) -> Shares {
     let slots = slots(configuration, service);
     let total: u64 = slots.values().sum();
     slots
@@ -163,6 +158,16 @@
         .collect()
 }
 
+/// Shares in force for a service at a platform time: those of its shift, else in proportion to the
+/// slots in use.
+pub fn shares(configuration: &Configuration, service: &str, now_ms: u64) -> Shares {
+    let rules = &configuration.rules;
+    match rules.shifts.get(service) {
+        Some(shift) => share_at(shift, cap_per_minute(rules, shift.reason), now_ms),
+        None => slot_shares(configuration, service),
+    }
+}
+
 /// Builds the shift of a service to new shares. It starts from the shares in force at `now_ms`, so
 /// a reversal in the middle of a shift continues from there.
 pub fn shift_to(
@@ -188,7 +193,7 @@
             fix,
         }));
     }
-    let sum: f64 = to.values().sum();
+    let sum = to.values().sum::<f64>() + 0.0;
     let valid = to.values().all(|s| (0.0..=1.0).contains(s));
     if !valid || (sum - 1.0).abs() > SHARE_TOLERANCE {
         return Err(Report::new(Error::Shares { sum }));
@@ -208,24 +213,3 @@
         reason,
     })
 }
-
-/// Restarts the shifts of `after` that are unchanged from `before` but whose cap has changed, from
-/// the shares in force at `now_ms`. Without this the whole path would be recomputed with the new
-/// cap, and the traffic would jump.
-pub fn rebase_shifts(before: &Configuration, after: &mut Rules, now_ms: u64) {
-    for (service, shift) in &mut after.shifts {
-        if before.rules.shifts.get(service) != Some(shift) {
-            continue;
-        }
-        let old_cap = cap_per_minute(&before.rules, shift.reason);
-        let new_cap = match shift.reason {
-            ShiftReason::Planned => after.shift_cap_per_minute,
-            ShiftReason::Failover => after.failover_cap_per_minute,
-        };
-        let in_force = share_at(shift, old_cap, now_ms);
-        if moved_share(&in_force, &share_at(shift, new_cap, now_ms)) > 0.0 {
-            shift.from = in_force;
-            shift.start_ms = now_ms;
-        }
-    }
-}
--- /dev/null
+++ b/components/config/tests/plan.rs
@@ -0,0 +1,171 @@
+//! Plans show what a change does and whether it passes a cap.
+
+mod common;
+
+use common::{example, shares};
+use config::{
+    Configuration, ServicePlan, ShiftReason, Target, drain, plan, rebase_shifts, shift_to,
+};
+
+const NOW_MS: u64 = 1_700_000_000_000;
+const MINUTE_MS: u64 = 60_000;
+
+fn service<'a>(plan: &'a config::Plan, name: &str) -> &'a ServicePlan {
+    plan.services
+        .iter()
+        .find(|s| &*s.service == name)
+        .expect("service")
+}
+
+/// A configuration with a shift of werkdienst to donau-1 that started at `NOW_MS`.
+fn shifting() -> Configuration {
+    let mut configuration = example("notensatz");
+    shift(&mut configuration, "donau-1", NOW_MS);
+    configuration
+}
+
+fn shift(configuration: &mut Configuration, to: &str, now_ms: u64) {
+    let to = shares(&[(to, 1.0)]);
+    let shift = shift_to(
+        configuration,
+        "werkdienst",
+        &to,
+        now_ms,
+        ShiftReason::Planned,
+    );
+    configuration
+        .rules
+        .shifts
+        .insert("werkdienst".into(), shift.expect("valid shift"));
+}
+
+/// Guards against plans that miss a machine, a drain or a share.
+#[test]
+fn a_plan_lists_every_difference() {
+    let before = example("notensatz");
+    let mut after = before.clone();
+    let mut added = after.inventory.servers[0].clone();
+    added.id = "werkdienst-13".into();
+    added.address.set_port(18_499);
+    added.slots = 2;
+    after.inventory.servers.push(added);
+    after
+        .inventory
+        .servers
+        .retain(|s| &*s.id != "werkdienst-03");
+    after.inventory.entry_vms[0].caller_address.set_port(18_198);
+    let server = Target::Server("fahnendienst-01".into());
+    assert!(drain(&mut after.rules, &after.inventory, &server).expect("known"));
+
+    let plan = plan(&before, &after, NOW_MS);
+    assert_eq!(plan.added, [Target::Server("werkdienst-13".into())]);
+    assert_eq!(plan.removed, [Target::Server("werkdienst-03".into())]);
+    assert_eq!(plan.changed, [Target::EntryVm("donau-1-a".into())]);
+    assert_eq!((&*plan.drained, &*plan.undrained), (&[server][..], &[][..]));
+
+    let werkdienst = service(&plan, "werkdienst");
+    let domain = |name: &str| {
+        let found = werkdienst
+            .domains
+            .iter()
+            .find(|d| &*d.domain == name)
+            .expect("domain");
+        (
+            found.slots_before,
+            found.slots_after,
+            (found.share_after * 35.0).round() as u64,
+        )
+    };
+    assert_eq!(domain("donau-1"), (6, 8, 8));
+    assert_eq!(domain("donau-2"), (6, 3, 3));
+    assert_eq!(domain("alpen-1"), (6, 6, 6));
+    assert!((service(&plan, "fahnendienst").step - (8.0 / 48.0 - 4.0 / 44.0)).abs() < 1e-9);
+    let text = plan.to_string();
+    for part in [
+        "added: server \"werkdienst-13\"",
+        "drain starts: server",
+        "service werkdienst",
+    ] {
+        assert!(text.contains(part), "{part} in {text}");
+    }
+}
+
+/// Guards against missing a step and against false alarms for changes within the cap.
+#[test]
+fn passing_a_cap_is_detected() {
+    let before = shifting();
+    let at_ms = NOW_MS + 3 * MINUTE_MS;
+
+    let mut reversed = before.clone();
+    shift(&mut reversed, "alpen-1", at_ms);
+    let found = plan(&before, &reversed, at_ms);
+    let werkdienst = service(&found, "werkdienst");
+    assert!(!found.passes_cap(), "{werkdienst:?}");
+    assert!(
+        (werkdienst.moved_in_a_minute - 0.1).abs() < 1e-9,
+        "{werkdienst:?}"
+    );
+
+    let mut removed = before.clone();
+    removed.rules.shifts.clear();
+    assert!(
+        plan(&before, &removed, at_ms).passes_cap(),
+        "a removed shift jumps back"
+    );
+
+    // Each step alone is within the cap, but not together with the running movement.
+    let mut nudged = before.clone();
+    let shift = nudged.rules.shifts.get_mut("werkdienst").expect("shift");
+    shift.start_ms -= MINUTE_MS / 2;
+    let found = plan(&before, &nudged, at_ms);
+    assert!(service(&found, "werkdienst").step < 0.1 && found.passes_cap());
+
+    let mut region = before.clone();
+    region.rules.drains.domains.push("alpen-1".into());
+    let found = plan(&before, &region, at_ms);
+    assert!(
+        !service(&found, "werkdienst").passes_cap(),
+        "a shift ignores slots"
+    );
+    assert!(service(&found, "bestelldienst").passes_cap());
+    assert!(found.to_string().contains("PASSES ITS CAP"));
+}
+
+/// Guards against a changed cap that recomputes the path of a running shift.
+#[test]
+fn a_changed_cap_continues_from_the_share_in_force() {
+    let before = shifting();
+    for (cap, minutes) in [(0.3, 2), (0.05, 2), (0.05, 10)] {
+        let at_ms = NOW_MS + minutes * MINUTE_MS;
+        let mut after = before.clone();
+        after.rules.shift_cap_per_minute = cap;
+        assert!(
+            plan(&before, &after, at_ms).passes_cap(),
+            "{cap} after {minutes} min"
+        );
+        rebase_shifts(&before, &mut after.rules, at_ms);
+        let found = plan(&before, &after, at_ms);
+        let werkdienst = service(&found, "werkdienst");
+        assert!(
+            werkdienst.step < 1e-9 && !found.passes_cap(),
+            "{werkdienst:?}"
+        );
+    }
+}
+
+/// Guards against alarms for a service that starts or ends, because it has no traffic to move.
+#[test]
+fn a_new_service_moves_nothing() {
+    let after = example("al-sahl");
+    let mut before = after.clone();
+    before.inventory.services.retain(|s| &*s.id != "price-book");
+    before
+        .inventory
+        .servers
+        .retain(|s| &*s.service != "price-book");
+    for (a, b) in [(&before, &after), (&after, &before)] {
+        let found = plan(a, b, NOW_MS);
+        assert!(!found.passes_cap());
+        assert!(service(&found, "price-book").step.abs() < 1e-9);
+    }
+}
