Add the platform client and the configuration head protocol

Cause: configuration changes must keep one chain of generations when operators race and the platform is slow, down or loses answers. Ruled out: comparing operation ids on the head row alone. The head may have moved on, and a request that timed out may still take effect, so an unchanged head settles nothing. Change: client for table, objects and VM list whose errors tell not sent, refused and unknown apart. A change writes the head row and the history row of its generation in one conditional transaction; after a lost answer the history row settles the outcome, or the same transaction is sent again. Conclusion: a change is confirmed, refused without effect, or reported as unknown with its operation id.

--- /dev/null
+++ b/components/platform/src/apply.rs
@@ -0,0 +1,227 @@
+//! Changing the configuration.
+//!
+//! The object is written first. One transaction then writes the head row, on condition that it
+//! is unchanged since the base generation, and the history row of the new generation, on
+//! condition that it does not exist. A history row never changes afterwards, so it settles
+//! which change became that generation, even if the answer to the transaction was lost and the
+//! head has moved on since.
+
+use std::fmt;
+use std::time::Duration;
+
+use config::Generation;
+use error_stack::{Report, ResultExt};
+use fastrand::Rng;
+use serde_json::json;
+
+use crate::client::Client;
+use crate::error::{Error, Result};
+use crate::head::{HEAD_ROW, Head, VersionedHead, decode_head, history_row};
+use crate::table::{Committed, Expect, Put, Row};
+
+/// Why a change was not confirmed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ApplyError {
+    /// The configuration has changed since the base generation; this change has no effect and
+    /// will have none. Carries the change that replaced the base generation or, if the base was
+    /// already outdated, the configuration in force.
+    Conflict(Box<Head>),
+    /// The base generation is newer than the configuration in force; this change has no effect.
+    UnknownBase(Generation),
+    /// The platform can't be reached or refused the change; it has no effect and will have none.
+    NotApplied,
+    /// The platform can't be reached any more. The change may have become this generation, may
+    /// still become it, or never.
+    Unknown {
+        /// Generation that the change would have.
+        generation: Generation,
+        /// Operation id of the change.
+        operation: Box<str>,
+    },
+}
+
+impl fmt::Display for ApplyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ApplyError::Conflict(head) => write!(
+                f,
+                "the configuration was changed to generation {} by {} at {} ms; \
+                 this change has no effect",
+                head.generation, head.author, head.time_ms
+            ),
+            ApplyError::UnknownBase(generation) => write!(
+                f,
+                "the configuration in force is generation {generation}, older than the base; \
+                 this change has no effect"
+            ),
+            ApplyError::NotApplied => {
+                f.write_str("the platform did not accept the change; it has no effect")
+            }
+            ApplyError::Unknown {
+                generation,
+                operation,
+            } => write!(
+                f,
+                "the platform cannot be reached; operation {operation} may have become \
+                 generation {generation} or may still become it"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for ApplyError {}
+
+/// Makes `bytes` the configuration that follows `base`; returns its generation.
+pub async fn apply(
+    client: &Client,
+    base: Generation,
+    bytes: &[u8],
+    author: &str,
+    rng: &mut Rng,
+) -> std::result::Result<Generation, Report<ApplyError>> {
+    let prepared = prepare(client, base, bytes, rng).await;
+    let (current, object) = prepared.change_context(ApplyError::NotApplied)?;
+    if current.generation() != base {
+        return Err(Report::new(match current.head {
+            Some(head) if head.generation > base => ApplyError::Conflict(Box::new(head)),
+            head => ApplyError::UnknownBase(head.map_or(0, |head| head.generation)),
+        }));
+    }
+    let head = Head {
+        generation: base + 1,
+        parent: base,
+        object,
+        operation: format!("{:032x}", rng.u128(..)).into(),
+        author: author.into(),
+        time_ms: client.time_ms().unwrap_or_default(),
+    };
+    commit(client, current.version, &head, rng).await
+}
+
+/// Writes the object and reads the head; neither changes the configuration.
+async fn prepare(
+    client: &Client,
+    base: Generation,
+    bytes: &[u8],
+    rng: &mut Rng,
+) -> Result<(VersionedHead, Box<str>)> {
+    let mut attempt = 0;
+    loop {
+        let tried = async {
+            let current = client.head().await?;
+            if current.generation() != base {
+                return Ok((current, Box::default()));
+            }
+            let object = client.put_object(bytes).await?;
+            Ok((current, object))
+        };
+        match tried.await {
+            Ok(done) => return Ok(done),
+            Err(report) if !again(client, &report, attempt) => return Err(report),
+            Err(report) => log::info!("event=prepare_failed attempt={attempt} err=\"{report}\""),
+        }
+        pause(client, attempt, rng).await;
+        attempt += 1;
+    }
+}
+
+/// Sends the transaction until its outcome is settled or the attempts are used up.
+async fn commit(
+    client: &Client,
+    version: u64,
+    head: &Head,
+    rng: &mut Rng,
+) -> std::result::Result<Generation, Report<ApplyError>> {
+    let puts = puts(version, head);
+    // Whether an earlier attempt may still take effect.
+    let mut open = false;
+    let mut attempt = 0;
+    loop {
+        let report = match client.transact(&puts).await {
+            Ok(Committed::Yes(_)) => return Ok(head.generation),
+            Ok(Committed::Conflict(rows)) => match winner(rows) {
+                Ok(Some(winner)) => return settled(head, winner),
+                Ok(None) => Report::new(Error::BadRow).attach("conflict without a winner"),
+                Err(report) => report,
+            },
+            Err(report) => {
+                open |= report.current_context().may_have_effect();
+                if open && let Ok(Some(winner)) = client.accepted(head.generation).await {
+                    return settled(head, winner);
+                }
+                report
+            }
+        };
+        if !again(client, &report, attempt) {
+            return Err(report.change_context(if open {
+                unknown(head)
+            } else {
+                ApplyError::NotApplied
+            }));
+        }
+        log::info!("event=commit_failed attempt={attempt} err=\"{report}\"");
+        pause(client, attempt, rng).await;
+        attempt += 1;
+    }
+}
+
+fn puts(version: u64, head: &Head) -> [Put; 2] {
+    let expect = if version == 0 {
+        Expect::Absent
+    } else {
+        Expect::Version(version)
+    };
+    let value = Some(json!(head));
+    [
+        Put {
+            row: HEAD_ROW.into(),
+            expect,
+            value: value.clone(),
+        },
+        Put {
+            row: history_row(head.generation),
+            expect: Expect::Absent,
+            value,
+        },
+    ]
+}
+
+/// The change that stands in the way: the history row if it exists, else the head row.
+fn winner(rows: Vec<Row>) -> Result<Option<Head>> {
+    let (head, history): (Vec<_>, Vec<_>) = rows
+        .into_iter()
+        .filter(|row| row.value.is_some())
+        .partition(|row| &*row.name == HEAD_ROW);
+    history
+        .into_iter()
+        .chain(head)
+        .next()
+        .map_or(Ok(None), decode_head)
+}
+
+/// Outcome of `head` when `winner` became its generation.
+fn settled(head: &Head, winner: Head) -> std::result::Result<Generation, Report<ApplyError>> {
+    if winner == *head {
+        return Ok(head.generation);
+    }
+    Err(Report::new(ApplyError::Conflict(Box::new(winner))))
+}
+
+fn unknown(head: &Head) -> ApplyError {
+    ApplyError::Unknown {
+        generation: head.generation,
+        operation: head.operation.clone(),
+    }
+}
+
+/// Tells whether another attempt may help.
+fn again(client: &Client, report: &Report<Error>, attempt: u32) -> bool {
+    let transient = matches!(report.current_context(), Error::NotSent | Error::Unknown);
+    transient && attempt + 1 < client.settings().apply_attempts
+}
+
+async fn pause(client: &Client, attempt: u32, rng: &mut Rng) {
+    let longest = client.settings().backoff * 2_u32.saturating_pow(attempt.min(8));
+    let pause: Duration = longest.mul_f64(0.5 + rng.f64() / 2.0);
+    runtime::sleep(pause).await;
+}
--- /dev/null
+++ b/components/platform/src/client.rs
@@ -0,0 +1,153 @@
+//! Exchanges with the platform.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use error_stack::{Report, ResultExt, bail};
+use http::client::{self, ClientOptions};
+use http::{Request, Response, StatusCode};
+use serde::de::DeserializeOwned;
+
+use crate::error::{Error, Result};
+use crate::settings::ClientSettings;
+
+/// Header with the platform's time in milliseconds since the Unix epoch.
+const TIME_HEADER: &str = "x-platform-time-ms";
+/// Longest name of a row or object in bytes.
+const MAX_NAME: usize = 256;
+
+/// What a request does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// Changes nothing and may be sent again.
+    Read,
+    /// Isn't sent a second time after it may have reached the platform.
+    Write,
+}
+
+/// Client of one platform.
+#[derive(Debug)]
+pub struct Client {
+    settings: ClientSettings,
+    options: ClientOptions,
+    /// The platform's time in its last answer, and when that came.
+    time: Mutex<Option<(u64, Instant)>>,
+}
+
+impl Client {
+    /// A client that has not contacted the platform yet.
+    pub fn new(settings: ClientSettings) -> Client {
+        let options = ClientOptions {
+            connect_timeout: settings.connect_timeout,
+            timeout: settings.timeout,
+            max_body: settings.max_body,
+        };
+        Client {
+            settings,
+            options,
+            time: Mutex::new(None),
+        }
+    }
+
+    /// Settings of the client.
+    pub fn settings(&self) -> &ClientSettings {
+        &self.settings
+    }
+
+    /// The platform's time now in milliseconds since the Unix epoch, from its last answer and
+    /// the monotonic clock; none before the first answer.
+    pub fn time_ms(&self) -> Option<u64> {
+        let (time_ms, at) = (*self.time.lock().ok()?)?;
+        Some(time_ms.saturating_add(millis(at.elapsed())))
+    }
+
+    /// Sends a request to the addresses in turn until one gives a definite answer: success,
+    /// "not found" or "conflict".
+    pub(crate) async fn exchange(
+        &self,
+        kind: Kind,
+        build: impl Fn() -> http::Result<Request>,
+    ) -> Result<Response> {
+        let mut failed = Report::new(Error::NotSent).attach("no platform address is configured");
+        for &addr in &self.settings.addresses {
+            let req = build().change_context(Error::BadName)?;
+            failed = match client::request(addr, req, &self.options).await {
+                Ok(res) => match checked(res) {
+                    Ok(res) => {
+                        self.note_time(&res);
+                        return Ok(res);
+                    }
+                    Err(report) => report,
+                },
+                Err(report) => classify(report),
+            };
+            if kind == Kind::Write && *failed.current_context() != Error::NotSent {
+                break;
+            }
+        }
+        count(kind, *failed.current_context());
+        Err(failed)
+    }
+
+    fn note_time(&self, res: &Response) {
+        let value = res
+            .header(TIME_HEADER)
+            .map(http_types::headers::HeaderValues::last);
+        let time_ms = value.and_then(|value| value.as_str().parse().ok());
+        if let (Some(time_ms), Ok(mut time)) = (time_ms, self.time.lock()) {
+            *time = Some((time_ms, Instant::now()));
+        }
+    }
+}
+
+/// Passes on definite answers.
+fn checked(res: Response) -> Result<Response> {
+    match res.status() {
+        StatusCode::NotFound | StatusCode::Conflict => Ok(res),
+        status if status.is_success() => Ok(res),
+        status if status.is_client_error() || status == StatusCode::InsufficientStorage => {
+            Err(Report::new(Error::Refused(status.into())))
+        }
+        status => Err(Report::new(Error::Unknown).attach(format!("status {status}"))),
+    }
+}
+
+fn classify(report: Report<http::Error>) -> Report<Error> {
+    let error = if report.current_context().may_have_been_sent() {
+        Error::Unknown
+    } else {
+        Error::NotSent
+    };
+    report.change_context(error)
+}
+
+fn count(kind: Kind, error: Error) {
+    let kind = if kind == Kind::Read { "read" } else { "write" };
+    let reason = match error {
+        Error::NotSent => "not_sent",
+        Error::Unknown => "unknown",
+        _ => "refused",
+    };
+    metrics::counter!("platform_failures_total", "kind" => kind, "reason" => reason).increment(1);
+}
+
+/// Decodes the JSON body of an answer.
+pub(crate) async fn decode<T: DeserializeOwned>(mut res: Response) -> Result<T> {
+    client::parse_json(&mut res)
+        .await
+        .change_context(Error::Unknown)
+}
+
+/// Checks a name before it becomes part of a path.
+pub(crate) fn check_name(name: &str) -> Result<()> {
+    let plain = |c: char| c.is_ascii_alphanumeric() || "/_.:-".contains(c);
+    let relative = name.split('/').any(|part| part == "." || part == "..");
+    if name.is_empty() || name.len() > MAX_NAME || relative || !name.chars().all(plain) {
+        bail!(Report::new(Error::BadName).attach(format!("name {name:?}")));
+    }
+    Ok(())
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/components/platform/src/head.rs
@@ -0,0 +1,105 @@
+//! The configuration head and its history.
+
+use config::Generation;
+use error_stack::{Report, ResultExt};
+use serde::{Deserialize, Serialize};
+
+use crate::client::Client;
+use crate::error::{Error, Result};
+use crate::table::Row;
+
+/// Row of the configuration in force.
+pub const HEAD_ROW: &str = "config/head";
+/// Prefix of the rows with all accepted configurations.
+const HISTORY_PREFIX: &str = "config/history/";
+/// Rows per list request.
+const PAGE: usize = 500;
+
+/// One accepted configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// Number of the configuration.
+    pub generation: Generation,
+    /// Generation that it replaced; 0 for the first one.
+    pub parent: Generation,
+    /// Object with the content, named by its hash.
+    pub object: Box<str>,
+    /// Random id of the change.
+    pub operation: Box<str>,
+    /// Who made the change.
+    pub author: Box<str>,
+    /// Platform time of the change in milliseconds since the Unix epoch.
+    pub time_ms: u64,
+}
+
+/// The configuration in force, with the version of its row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionedHead {
+    /// Version of the row; 0 if there is no configuration yet.
+    pub version: u64,
+    /// The configuration, if there is one.
+    pub head: Option<Head>,
+}
+
+impl VersionedHead {
+    /// Generation in force; 0 if there is no configuration yet.
+    pub fn generation(&self) -> Generation {
+        self.head.as_ref().map_or(0, |head| head.generation)
+    }
+}
+
+/// Row of the history with this generation; the names sort like the generations.
+pub fn history_row(generation: Generation) -> Box<str> {
+    format!("{HISTORY_PREFIX}{generation:020}").into()
+}
+
+/// Decodes a head or history row.
+pub(crate) fn decode_head(row: Row) -> Result<Option<Head>> {
+    let Row { name, value, .. } = row;
+    let Some(value) = value else {
+        return Ok(None);
+    };
+    let head: Head = serde_json::from_value(value)
+        .change_context(Error::BadRow)
+        .attach_with(|| format!("row {name}"))?;
+    if &*name != HEAD_ROW && name != history_row(head.generation) {
+        return Err(Report::new(Error::BadRow).attach(format!("row {name}")));
+    }
+    Ok(Some(head))
+}
+
+impl Client {
+    /// The configuration in force.
+    pub async fn head(&self) -> Result<VersionedHead> {
+        let row = self.get(HEAD_ROW).await?;
+        Ok(VersionedHead {
+            version: row.version,
+            head: decode_head(row)?,
+        })
+    }
+
+    /// An accepted configuration by its generation.
+    pub async fn accepted(&self, generation: Generation) -> Result<Option<Head>> {
+        decode_head(self.get(&history_row(generation)).await?)
+    }
+
+    /// The newest `limit` accepted configurations, oldest first.
+    pub async fn history(&self, limit: usize) -> Result<Vec<Head>> {
+        let newest = self.head().await?.generation();
+        let mut after = history_row(newest.saturating_sub(limit as u64));
+        let mut heads = Vec::new();
+        loop {
+            let (rows, more) = self.list(HISTORY_PREFIX, &after, PAGE).await?;
+            if let Some(last) = rows.last() {
+                after = last.name.clone();
+            }
+            for row in rows {
+                heads.extend(decode_head(row)?);
+            }
+            if !more || heads.len() >= limit {
+                heads.truncate(limit);
+                return Ok(heads);
+            }
+        }
+    }
+}
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -1,1 +1,20 @@
 //! Client of the platform: table service, object store, VM list and the configuration head.
+
+mod apply;
+mod client;
+mod error;
+mod head;
+mod objects;
+mod settings;
+mod table;
+mod vms;
+mod wire;
+
+pub use apply::{ApplyError, apply};
+pub use client::Client;
+pub use error::{Error, Result};
+pub use head::{HEAD_ROW, Head, VersionedHead, history_row};
+pub use objects::object_name;
+pub use settings::ClientSettings;
+pub use table::{Committed, Expect, Put, Row};
+pub use vms::{Vm, VmState};
--- /dev/null
+++ b/components/platform/src/vms.rs
@@ -0,0 +1,37 @@
+//! The list of live and leaving VMs.
+
+use http::Method;
+use http::client::build;
+
+use crate::client::{Client, Kind, decode};
+use crate::error::Result;
+use crate::wire::VmList;
+
+/// State of a VM in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VmState {
+    /// Running.
+    Live,
+    /// Going to be stopped.
+    Leaving,
+}
+
+/// One VM of the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Vm {
+    /// Name.
+    pub id: Box<str>,
+    /// State.
+    pub state: VmState,
+}
+
+impl Client {
+    /// The VM list; it may lag behind in both directions.
+    pub async fn vms(&self) -> Result<Vec<Vm>> {
+        let res = self
+            .exchange(Kind::Read, || build(Method::Get, "/vms"))
+            .await?;
+        let list: VmList = decode(res).await?;
+        Ok(list.vms.into_iter().map(Vm::from).collect())
+    }
+}
