--- /dev/null
+++ b/components/entry/src/exchange.rs
@@ -0,0 +1,95 @@
+//! One attempt at a backend server or at an entry VM of another failure domain.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_net::TcpStream;
+use http::client::{self, ClientOptions};
+use http::codes::{self, Code};
+use http::{Body, Error, Request, Response};
+
+/// Time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub enum Attempt {
+    /// The server answered.
+    Answer(Response),
+    /// The server surely did not run the request.
+    NotRun(NotRun),
+    /// The server may have run the request.
+    Unknown(Code),
+}
+
+/// Why a request surely did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotRun {
+    /// The connection could not be opened.
+    Connect,
+    /// The server shed the request.
+    Shed,
+}
+
+/// Limits of the answer.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerLimits {
+    /// Longest body in bytes.
+    pub max_body: u64,
+    /// Bodies up to this many bytes are read whole before the caller sees the first byte.
+    pub buffered: u64,
+}
+
+/// Opens a new connection; `None` means that nothing was sent.
+pub async fn connect(addr: SocketAddr, remaining: Duration) -> Option<TcpStream> {
+    client::connect(addr, CONNECT_TIMEOUT.min(remaining)).await.ok()
+}
+
+/// Sends a request on a connection and reads the answer.
+pub async fn send_on(
+    tcp: TcpStream,
+    req: Request,
+    remaining: Duration,
+    limits: AnswerLimits,
+) -> Attempt {
+    let options = ClientOptions {
+        timeout: remaining,
+        max_body: limits.max_body,
+        ..ClientOptions::default()
+    };
+    let started = std::time::Instant::now();
+    let res = match Box::pin(client::send(tcp, req, &options)).await {
+        Ok(res) => res,
+        Err(report) => return Attempt::Unknown(code_of(*report.current_context())),
+    };
+    if codes::is_shed(&res) {
+        return Attempt::NotRun(NotRun::Shed);
+    }
+    match res.len() {
+        Some(length) if length as u64 <= limits.buffered => {
+            buffer(res, remaining.saturating_sub(started.elapsed())).await
+        }
+        _ => Attempt::Answer(res),
+    }
+}
+
+/// Reads the whole body.
+async fn buffer(mut res: Response, limit: Duration) -> Attempt {
+    match runtime::timeout(limit, res.body_bytes()).await {
+        Some(Ok(bytes)) => {
+            res.set_body(Body::from_bytes(bytes));
+            Attempt::Answer(res)
+        }
+        Some(Err(_)) => Attempt::Unknown(Code::AnswerCut),
+        None => Attempt::Unknown(Code::AnswerTimeout),
+    }
+}
+
+fn code_of(error: Error) -> Code {
+    match error {
+        Error::Timeout => Code::AnswerTimeout,
+        Error::Truncated => Code::AnswerCut,
+        Error::BadHead(_) | Error::HeadTooLong | Error::BodyTooLong => Code::AnswerInvalid,
+        _ => Code::ConnectionLost,
+    }
+}
