--- a/components/routing/tests/shift.rs
+++ b/components/routing/tests/shift.rs
@@ -39,7 +39,7 @@
     for (i, (start, _)) in moves.iter().enumerate() {
         let window = moves[i..]
             .iter()
-            .take_while(|(t, _)| *t - *start <= Duration::from_mins(1));
+            .take_while(|(t, _)| *t <= *start + Duration::from_mins(1));
         worst = worst.max(window.map(|(_, m)| m).sum());
     }
     worst
