Claim caller-supplied keys before binding work is sent

Cause: a caller that comes back with its own key after a dead owner cannot be judged from memory. Ruled out: a claim at a peer (as mortal as the owner). Change: keys are claimed by conditional writes in batches; a key held by another live process is asked there, one whose process is gone is outcome unknown. Outgoing connections pass one function, where tests cut links.

--- a/components/entry/src/agents/configuration.rs
+++ b/components/entry/src/agents/configuration.rs
@@ -116,12 +116,14 @@
     let question = Question {
         known: node.generation(),
     };
-    let sign = |bytes: &[u8]| node.sign(bytes);
     let options = http::client::ClientOptions {
         max_body: 64 << 20,
         ..short_exchange()
     };
-    match http::peer::call::<_, Answer>(address, PATH, &question, sign, &options).await {
+    match node
+        .call::<_, Answer>(address, PATH, &question, &options)
+        .await
+    {
         Ok(answer) if answer.generation > node.generation() => {
             offer(node, answer.generation, &answer.object, answer.bytes);
         }
@@ -196,9 +198,9 @@
         let node = node.clone();
         let notice = notice.clone();
         tasks.push(runtime::spawn(async move {
-            let sign = |bytes: &[u8]| node.sign(bytes);
-            let sent: http::Result<()> =
-                http::peer::call(address, NOTICE_PATH, &notice, sign, &short_exchange()).await;
+            let sent: http::Result<()> = node
+                .call(address, NOTICE_PATH, &notice, &short_exchange())
+                .await;
             if sent.is_err() {
                 metrics::counter!("notices_failed_total").increment(1);
             }
--- a/components/entry/src/agents/digests.rs
+++ b/components/entry/src/agents/digests.rs
@@ -36,9 +36,9 @@
 }
 
 async fn fetch(node: Arc<Node>, address: std::net::SocketAddr) {
-    let sign = |bytes: &[u8]| node.sign(bytes);
-    let answer: http::Result<DigestWire> =
-        http::peer::call(address, PATH, &Question {}, sign, &short_exchange()).await;
+    let answer: http::Result<DigestWire> = node
+        .call(address, PATH, &Question {}, &short_exchange())
+        .await;
     match answer {
         Ok(wire) => {
             let digest = Digest::from(wire);
--- a/components/entry/src/agents/heartbeats.rs
+++ b/components/entry/src/agents/heartbeats.rs
@@ -46,9 +46,7 @@
         return;
     };
     let message = own(&node);
-    let sign = |bytes: &[u8]| node.sign(bytes);
-    let answer: http::Result<Message> =
-        http::peer::call(address, PATH, &message, sign, &short_exchange()).await;
+    let answer: http::Result<Message> = node.call(address, PATH, &message, &short_exchange()).await;
     match answer {
         Ok(message) => {
             take(&node, message).await;
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -8,6 +8,9 @@
 use http::codes::{self, Code};
 use http::{Body, Error, Request, Response};
 
+use crate::node::Node;
+use crate::reach;
+
 /// Time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -41,8 +44,8 @@
 }
 
 /// Opens a new connection; `None` means that nothing was sent.
-pub async fn connect(addr: SocketAddr, remaining: Duration) -> Option<TcpStream> {
-    client::connect(addr, CONNECT_TIMEOUT.min(remaining))
+pub async fn connect(node: &Node, addr: SocketAddr, remaining: Duration) -> Option<TcpStream> {
+    reach::connect(&node.reachable, addr, CONNECT_TIMEOUT.min(remaining))
         .await
         .ok()
 }
@@ -60,10 +63,13 @@
         ..ClientOptions::default()
     };
     let started = std::time::Instant::now();
-    let res = match Box::pin(client::send(tcp, req, &options)).await {
+    let mut res = match Box::pin(client::send(tcp, req, &options)).await {
         Ok(res) => res,
         Err(report) => return Attempt::Unknown(code_of(*report.current_context())),
     };
+    // Only this system may tell callers what became of a request.
+    res.remove_header(codes::CODE_HEADER);
+    res.remove_header(codes::OUTCOME_HEADER);
     if codes::is_shed(&res) {
         return Attempt::NotRun(NotRun::Shed);
     }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 mod agents;
+mod claims;
 mod error;
 pub mod exchange;
 mod in_force;
@@ -10,6 +11,7 @@
 mod node;
 mod operator;
 mod peer;
+mod reach;
 mod relay;
 mod request;
 mod split;
@@ -29,6 +31,7 @@
 
 pub use error::{Error, Result};
 pub use node::Node;
+pub use reach::Reachable;
 pub use request::{DEADLINE_HEADER, HOUSE_HEADER, KEY_HEADER, SERVICE_HEADER, TICKET_HEADER};
 
 /// Time between two rounds of heartbeats.
@@ -42,7 +45,12 @@
 
 /// Runs an entry VM until `stop` closes, then shuts it down gracefully.
 pub async fn run(settings: Settings, stop: Receiver<()>) -> Result<()> {
-    let node = Node::new(settings)?;
+    run_with(settings, stop, reach::everything()).await
+}
+
+/// Does the same with links that a test can cut.
+pub async fn run_with(settings: Settings, stop: Receiver<()>, reachable: Reachable) -> Result<()> {
+    let node = Node::new(settings, reachable)?;
     let callers = listen(node.settings.caller_address).await?;
     let peers = listen(node.settings.peer_address).await?;
     let operators = listen(node.settings.operator_address).await?;
@@ -113,6 +121,7 @@
     runtime::spawn(heartbeats::run(n(), timer.subscribe(HEARTBEAT_PERIOD))).detach();
     runtime::spawn(digests::run(n(), timer.subscribe(SLOW_PERIOD))).detach();
     runtime::spawn(health::run(n(), timer.subscribe(SLOW_PERIOD))).detach();
+    runtime::spawn(claims::run(n())).detach();
     runtime::spawn(vm_list::run(n(), timer.subscribe(SLOW_PERIOD))).detach();
 }
 
--- a/components/entry/src/listeners.rs
+++ b/components/entry/src/listeners.rs
@@ -104,7 +104,10 @@
         Err(refusal) => return refusal.response(),
     };
     let meta = match read(&node, &req) {
-        Ok(meta) => meta,
+        Ok(meta) => Meta {
+            is_forwarded: true,
+            ..meta
+        },
         Err(refusal) => return refusal.response(),
     };
     if path == peer::WORK_PATH {
--- a/components/entry/src/node.rs
+++ b/components/entry/src/node.rs
@@ -1,6 +1,7 @@
 //! State of one entry VM process.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
@@ -8,14 +9,19 @@
 use binding::{Context, Identity, KeyRing};
 use config::{Configuration, EntryVmId, Generation, Settings};
 use error_stack::ResultExt;
+use http::client::ClientOptions;
 use http::peer::Signature;
 use membership::{MemberSettings, Membership, VmState};
 use platform::{Client, ClientSettings};
 use runtime::Clock;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::admission::Admission;
+use crate::claims::Claims;
 use crate::error::{Error, Result};
 use crate::in_force::InForce;
+use crate::reach::{self, Reachable};
 use crate::split::own_parts;
 use crate::work::WorkState;
 
@@ -33,6 +39,10 @@
     pub admission: Arc<Admission>,
     /// Binding work.
     pub work: Mutex<WorkState>,
+    /// Addresses that this process can reach.
+    pub reachable: Reachable,
+    /// Claims of caller-supplied keys.
+    pub claims: Claims,
     /// Client of the platform.
     pub platform: Client,
     /// Entry VMs of the domain and digests of the others.
@@ -49,7 +59,7 @@
 
 impl Node {
     /// Creates the state from checked settings.
-    pub fn new(settings: Settings) -> Result<Arc<Node>> {
+    pub fn new(settings: Settings, reachable: Reachable) -> Result<Arc<Node>> {
         let keys = KeyRing::new(&settings.keys).change_context(Error::Settings)?;
         let clock = Clock::start();
         let identity = Identity {
@@ -62,6 +72,8 @@
                 addresses: settings.platform.clone(),
                 ..ClientSettings::default()
             }),
+            reachable,
+            claims: Claims::new(identity.clone()),
             membership: Mutex::new(membership),
             settled: Mutex::new(BTreeMap::new()),
             tickets: AtomicU64::new(0),
@@ -205,6 +217,18 @@
         Signature { key, mac }
     }
 
+    /// Sends a message to a peer and returns its answer.
+    pub async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        message: &Q,
+        options: &ClientOptions,
+    ) -> http::Result<A> {
+        let tcp = reach::connect(&self.reachable, address, options.connect_timeout).await?;
+        http::peer::call(tcp, path, message, |bytes| self.sign(bytes), options).await
+    }
+
     /// Checks the keyed hash of a peer message.
     pub fn verify(&self, signature: &Signature, bytes: &[u8]) -> bool {
         let valid = self
--- a/components/entry/src/peer.rs
+++ b/components/entry/src/peer.rs
@@ -11,8 +11,10 @@
 use http::{Body, Error, Method, Request, Response};
 
 use crate::node::Node;
+use crate::reach;
 use crate::request::{
-    DEADLINE_HEADER, HOUSE_HEADER, Meta, Outgoing, SERVICE_HEADER, TICKET_HEADER, WorkIdentity,
+    DEADLINE_HEADER, HOUSE_HEADER, KEY_HEADER, Meta, Outgoing, SERVICE_HEADER, TICKET_HEADER,
+    WorkIdentity,
 };
 
 /// Path of requests for a ticket's owner.
@@ -26,12 +28,13 @@
 /// Time to open a connection to another entry VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Headers that the keyed hash covers, in this order.
-const SIGNED: [&str; 6] = [
+const SIGNED: [&str; 7] = [
     METHOD_HEADER,
     PATH_HEADER,
     SERVICE_HEADER,
     HOUSE_HEADER,
     TICKET_HEADER,
+    KEY_HEADER,
     DEADLINE_HEADER,
 ];
 
@@ -64,7 +67,7 @@
     outgoing: &Outgoing,
 ) -> Result<Response, Error> {
     let remaining = meta.deadline.saturating_sub(node.now());
-    let tcp = client::connect(address, CONNECT_TIMEOUT.min(remaining))
+    let tcp = reach::connect(&node.reachable, address, CONNECT_TIMEOUT.min(remaining))
         .await
         .map_err(|e| *e.current_context())?;
     let req = build(node, path, meta, outgoing)?;
@@ -89,8 +92,14 @@
     req.insert_header(PATH_HEADER, outgoing.path());
     req.insert_header(SERVICE_HEADER, &*meta.service);
     req.insert_header(HOUSE_HEADER, &*meta.house);
-    if let Some(WorkIdentity::Ticket(ticket)) = &meta.identity {
-        req.insert_header(TICKET_HEADER, &**ticket);
+    match &meta.identity {
+        Some(WorkIdentity::Ticket(ticket)) => {
+            req.insert_header(TICKET_HEADER, &**ticket);
+        }
+        Some(WorkIdentity::Key(key)) => {
+            req.insert_header(KEY_HEADER, &**key);
+        }
+        None => {}
     }
     let signature = node.sign(&signed_bytes(path, &req, outgoing.body()));
     signature.insert(&mut req);
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -96,7 +96,7 @@
 
 async fn try_one(node: &Arc<Node>, meta: &Meta, outgoing: &Outgoing, mut slot: Slot) -> Tried {
     let remaining = meta.deadline.saturating_sub(node.now());
-    let Some(tcp) = exchange::connect(slot.address, remaining).await else {
+    let Some(tcp) = exchange::connect(node, slot.address, remaining).await else {
         return Tried {
             attempt: Attempt::NotRun(NotRun::Connect),
             slot,
--- a/components/entry/src/request.rs
+++ b/components/entry/src/request.rs
@@ -46,6 +46,8 @@
     pub deadline: Duration,
     /// Ticket or key.
     pub identity: Option<WorkIdentity>,
+    /// Whether another entry VM passed the request on; it is not passed on again.
+    pub is_forwarded: bool,
 }
 
 impl Meta {
@@ -66,6 +68,7 @@
             class,
             deadline: now + read_deadline(req, default_deadline)?,
             identity: read_identity(req)?,
+            is_forwarded: false,
         })
     }
 }
--- a/components/entry/src/work.rs
+++ b/components/entry/src/work.rs
@@ -1,40 +1,30 @@
 //! Binding work: each ticket or key is executed at most once.
 
+mod send;
+mod stored;
+
 use std::collections::HashMap;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use binding::{
-    Begin, Ending, Permit, RecordLimits, Records, SendRefusal, Ticket, Verdict, Work, WorkId,
-    request_digest,
+    Begin, ClaimRefusal, ClaimVerdict, Ending, Permit, RecordLimits, Records, SendRefusal, Ticket,
+    Verdict, Work, WorkId, request_digest,
 };
+use http::Response;
 use http::codes::{self, Code, Refusal};
-use http::{Body, Response, StatusCode};
-use limits::budget::Reason;
-use routing::server::Outcome;
 
-use crate::admission::{Avoid, Slot};
-use crate::exchange::{self, AnswerLimits, Attempt, NotRun};
 use crate::node::Node;
 use crate::request::{Meta, Outgoing, WorkIdentity};
-use crate::{peer, steer};
+use crate::{claims, peer, steer};
+use send::{SendEvent, send_elsewhere, send_once};
+use stored::Stored;
 
-/// Longest answer to binding work in bytes.
-const MAX_ANSWER: u64 = 4 << 20;
-/// Servers tried for one attempt that surely did not run before.
-const MAX_SERVERS_TRIED: usize = 4;
+pub use send::serve_relayed;
 
-/// A server's complete answer, kept for retries of the caller.
-#[derive(Debug)]
-pub struct Stored {
-    /// HTTP status.
-    status: u16,
-    /// Headers.
-    headers: Vec<(Box<str>, Box<str>)>,
-    /// Body.
-    body: Vec<u8>,
-}
+/// Time for which work under a caller's key may start; the claim in the table lasts longer.
+const KEY_LIFETIME: Duration = Duration::from_mins(1);
 
 /// How an execution ended for the callers that wait for it.
 #[derive(Clone, Debug)]
@@ -85,10 +75,16 @@
     match meta.identity.clone() {
         None => codes::refusal(Code::NoTicketOrKey, "look up the service to get a ticket"),
         Some(WorkIdentity::Ticket(text)) => serve_ticket(node, meta, outgoing, &text).await,
-        Some(WorkIdentity::Key(_)) => codes::refusal(
-            Code::PlatformUnreachable,
-            "keys cannot be claimed by this entry VM",
-        ),
+        Some(WorkIdentity::Key(key)) => {
+            let work = Work {
+                id: WorkId::from_key(&meta.service, &meta.house, &key),
+                digest: digest(&outgoing),
+                expires: node.now() + KEY_LIFETIME,
+                deadline: meta.deadline,
+                claimed: false,
+            };
+            execute(node, work, meta, outgoing).await
+        }
     }
 }
 
@@ -203,13 +199,19 @@
     done: Sender<()>,
 ) {
     let id = permit.id();
-    let check = |node: &Node, event| check_send(node, &permit, event);
-    let mut result = Box::pin(send_once(&node, &check, &meta, &outgoing)).await;
-    if let Err(code) = result
-        && steer::may_be_served_elsewhere(code)
-    {
-        result = Box::pin(send_elsewhere(&node, &check, &meta, &outgoing, code)).await;
-    }
+    let result = match claim(&node, &permit, &meta).await {
+        Ok(()) => send(&node, &permit, &meta, &outgoing).await,
+        Err(Unclaimed::Code(code)) => Err(code),
+        Err(Unclaimed::HeldBy(vm)) => {
+            // Nothing ran here; the answer is the holder's.
+            let end = ask_holder(&node, &vm, &meta, &outgoing).await;
+            let mut state = node.lock_work();
+            state.records.not_run(permit, node.now());
+            state.executions.remove(&id);
+            let _ = execution.end.set(end);
+            return;
+        }
+    };
     let now = node.now();
     let mut state = node.lock_work();
     let end = match result {
@@ -238,142 +240,84 @@
     drop(done);
 }
 
-/// What the record of the work has to know about a send.
-#[derive(Clone, Copy, Debug)]
-enum SendEvent {
-    /// The first byte is about to be written.
-    About,
-    /// The server surely did not run what was sent.
-    NotExecuted,
-}
-
-/// Tells the record of the work about a send; an error forbids it.
-fn check_send(node: &Node, permit: &Permit, event: SendEvent) -> Result<(), Code> {
-    let mut state = node.lock_work();
-    match event {
-        SendEvent::About => state
-            .records
-            .about_to_send(permit, node.now())
-            .map_err(code_of),
-        SendEvent::NotExecuted => {
-            state.records.surely_not_executed(permit);
-            Ok(())
-        }
-    }
-}
-
-/// Serves binding work that the owner in another failure domain sends here, once.
-pub async fn serve_relayed(node: &Arc<Node>, meta: &Meta, outgoing: &Outgoing) -> Response {
-    // The owner keeps the record. Here only the deadline and the shutdown forbid a send.
-    let check = |node: &Node, event| match event {
-        SendEvent::About if node.now() >= meta.deadline => Err(Code::DeadlinePassed),
-        SendEvent::About if node.is_stopping() => Err(Code::Stopping),
-        _ => Ok(()),
-    };
-    match Box::pin(send_once(node, &check, meta, outgoing)).await {
-        Ok(stored) => stored.response(),
-        Err(code) => codes::refusal(code, ""),
-    }
-}
-
-/// Sends the request to another failure domain.
-async fn send_elsewhere(
+async fn send(
     node: &Arc<Node>,
-    check: &(impl Fn(&Node, SendEvent) -> Result<(), Code> + Sync),
+    permit: &Permit,
     meta: &Meta,
     outgoing: &Outgoing,
-    mut code: Code,
 ) -> Result<Stored, Code> {
-    for address in steer::other_domains(node, meta) {
-        check(node, SendEvent::About)?;
-        match peer::relay_to(node, address, meta, outgoing).await {
-            Ok(res) => return from_elsewhere(node, meta, res).await,
-            Err(other) => code = other,
+    let check = |node: &Node, event| check_send(node, permit, event);
+    match Box::pin(send_once(node, &check, meta, outgoing)).await {
+        Err(code) if steer::may_be_served_elsewhere(code) => {
+            Box::pin(send_elsewhere(node, &check, meta, outgoing, code)).await
         }
-        check(node, SendEvent::NotExecuted)?;
+        result => result,
     }
-    Err(code)
 }
 
-/// Reads the answer of another failure domain; its own refusals here mean an unknown outcome.
-async fn from_elsewhere(node: &Node, meta: &Meta, res: Response) -> Result<Stored, Code> {
-    let is_refusal = res.header(codes::CODE_HEADER).is_some();
-    let stored = Stored::take(res, meta.deadline, node)
-        .await
-        .ok_or(Code::AnswerCut)?;
-    if is_refusal {
-        Err(Code::ConnectionLost)
-    } else {
-        Ok(stored)
-    }
+/// Why work under a caller's key must not be sent by this process.
+enum Unclaimed {
+    /// Refusal or unknown outcome.
+    Code(Code),
+    /// Another process holds the key.
+    HeldBy(config::EntryVmId),
 }
 
-/// Sends the request to servers until one may have seen it.
-async fn send_once(
-    node: &Arc<Node>,
-    check: &(impl Fn(&Node, SendEvent) -> Result<(), Code> + Sync),
-    meta: &Meta,
-    outgoing: &Outgoing,
-) -> Result<Stored, Code> {
-    let mut avoid = Avoid::new();
-    loop {
-        let slot = node.admission.acquire(meta, avoid.clone()).await?;
-        let server = slot.server().clone();
-        let not_run = match send_to(node, check, meta, outgoing, slot).await? {
-            Ok(stored) => return Ok(stored),
-            Err(not_run) => not_run,
-        };
-        check(node, SendEvent::NotExecuted)?;
-        avoid.push(server);
-        let (reason, code) = match not_run {
-            NotRun::Connect => (Reason::Connect, Code::NoServer),
-            NotRun::Shed => (Reason::Shed, Code::ServersShed),
-        };
-        if avoid.len() >= MAX_SERVERS_TRIED || !node.admission.may_retry(&meta.service, reason) {
-            return Err(code);
-        }
+/// Claims the key of the work in the table service; a ticket needs no claim.
+async fn claim(node: &Arc<Node>, permit: &Permit, meta: &Meta) -> Result<(), Unclaimed> {
+    if !matches!(meta.identity, Some(WorkIdentity::Key(_))) {
+        return Ok(());
     }
+    let row = claims::row(&meta.service, permit.id());
+    let verdict = node
+        .claims
+        .claim(row, permit.record(), node.now(), meta.deadline)
+        .await;
+    Err(match verdict {
+        ClaimVerdict::Won => return Ok(()),
+        ClaimVerdict::Held(holder) if holder.process.vm == node.identity.vm => {
+            Unclaimed::Code(Code::OwnerGone)
+        }
+        ClaimVerdict::Held(_) if meta.is_forwarded => Unclaimed::Code(Code::OwnerGone),
+        ClaimVerdict::Held(holder) => Unclaimed::HeldBy(holder.process.vm),
+        ClaimVerdict::HeldEarlier => Unclaimed::Code(Code::OutcomeUnknown),
+        ClaimVerdict::Refused(refusal) => Unclaimed::Code(match refusal {
+            ClaimRefusal::QueueFull => Code::QueueFull,
+            ClaimRefusal::Unreachable => Code::PlatformUnreachable,
+            ClaimRefusal::DeadlinePassed => Code::DeadlinePassed,
+            ClaimRefusal::Busy => Code::ClaimUnsettled,
+        }),
+    })
 }
 
-/// Sends the request to one server.
-///
-/// The outer error ends the attempt; the inner one says that the server did not run it.
-async fn send_to(
-    node: &Arc<Node>,
-    check: &(impl Fn(&Node, SendEvent) -> Result<(), Code> + Sync),
-    meta: &Meta,
-    outgoing: &Outgoing,
-    mut slot: Slot,
-) -> Result<Result<Stored, NotRun>, Code> {
-    let remaining = meta.deadline.saturating_sub(node.now());
-    let Some(tcp) = exchange::connect(slot.address, remaining).await else {
-        slot.end(Outcome::Failed);
-        return Ok(Err(NotRun::Connect));
+/// Asks the process that holds a key for the outcome.
+async fn ask_holder(node: &Arc<Node>, vm: &str, meta: &Meta, outgoing: &Outgoing) -> End {
+    let Some(address) = node
+        .in_force()
+        .and_then(|c| c.entry_vm(vm).map(|v| v.peer_address))
+    else {
+        return End::Code(Code::OwnerGone);
     };
-    // The process may have been paused since the slot was taken: check again before the send.
-    check(node, SendEvent::About)?;
-    let remaining = meta.deadline.saturating_sub(node.now());
-    let limits = AnswerLimits {
-        max_body: MAX_ANSWER,
-        buffered: MAX_ANSWER,
+    let Ok(res) = peer::pass(node, address, peer::WORK_PATH, meta, outgoing).await else {
+        return End::Code(Code::OwnerGone);
     };
-    match exchange::send_on(tcp, outgoing.build(remaining), remaining, limits).await {
-        Attempt::Answer(res) => {
-            let stored = Stored::take(*res, meta.deadline, node).await;
-            slot.end(if stored.is_some() {
-                Outcome::Answered
-            } else {
-                Outcome::Failed
-            });
-            stored.map(Ok).ok_or(Code::AnswerCut)
-        }
-        Attempt::NotRun(not_run) => {
-            slot.end(Outcome::Shed);
-            Ok(Err(not_run))
-        }
-        Attempt::Unknown(code) => {
-            slot.end(Outcome::Failed);
-            Err(code)
+    match Stored::take(res, meta.deadline, node).await {
+        Some(stored) => End::Answer(Arc::new(stored)),
+        None => End::Code(Code::AnswerCut),
+    }
+}
+
+/// Tells the record of the work about a send; an error forbids it.
+fn check_send(node: &Node, permit: &Permit, event: SendEvent) -> Result<(), Code> {
+    let mut state = node.lock_work();
+    match event {
+        SendEvent::About => state
+            .records
+            .about_to_send(permit, node.now())
+            .map_err(code_of),
+        SendEvent::NotExecuted => {
+            state.records.surely_not_executed(permit);
+            Ok(())
         }
     }
 }
@@ -385,37 +329,3 @@
         SendRefusal::AlreadySent | SendRefusal::NoRecord => Code::OutcomeUnknown,
     }
 }
-
-impl Stored {
-    /// Reads the whole answer; `None` when it is cut or late.
-    async fn take(mut res: Response, deadline: Duration, node: &Node) -> Option<Stored> {
-        let remaining = deadline.saturating_sub(node.now());
-        let body = runtime::timeout(remaining, res.body_bytes()).await?.ok()?;
-        let headers = res
-            .iter()
-            .filter(|(name, _)| !matches!(name.as_str(), "content-length" | "transfer-encoding"))
-            .flat_map(|(name, values)| {
-                values
-                    .iter()
-                    .map(|v| (name.as_str().into(), v.as_str().into()))
-            })
-            .collect();
-        Some(Stored {
-            status: res.status().into(),
-            headers,
-            body,
-        })
-    }
-
-    /// Builds the response for a caller.
-    fn response(&self) -> Response {
-        let status = StatusCode::try_from(self.status).unwrap_or(StatusCode::BadGateway);
-        let mut res = Response::new(status);
-        res.set_body(Body::from_bytes(self.body.clone()));
-        res.remove_header("content-type");
-        for (name, value) in &self.headers {
-            res.append_header(&**name, &**value);
-        }
-        res
-    }
-}
--- /dev/null
+++ b/components/entry/src/work/send.rs
@@ -0,0 +1,145 @@
+//! Sends of binding work: to servers of this failure domain, or to another one.
+
+use std::sync::Arc;
+
+use http::Response;
+use http::codes::{self, Code};
+use limits::budget::Reason;
+use routing::server::Outcome;
+
+use super::stored::Stored;
+use crate::admission::{Avoid, Slot};
+use crate::exchange::{self, AnswerLimits, Attempt, NotRun};
+use crate::node::Node;
+use crate::request::{Meta, Outgoing};
+use crate::{peer, steer};
+
+/// Longest answer to binding work in bytes.
+const MAX_ANSWER: u64 = 4 << 20;
+/// Servers tried for one attempt that surely did not run before.
+const MAX_SERVERS_TRIED: usize = 4;
+
+/// What the record of the work has to know about a send.
+#[derive(Clone, Copy, Debug)]
+pub enum SendEvent {
+    /// The first byte is about to be written.
+    About,
+    /// The server surely did not run what was sent.
+    NotExecuted,
+}
+
+/// Serves binding work that the owner in another failure domain sends here, once.
+pub async fn serve_relayed(node: &Arc<Node>, meta: &Meta, outgoing: &Outgoing) -> Response {
+    // The owner keeps the record. Here only the deadline and the shutdown forbid a send.
+    let check = |node: &Node, event| match event {
+        SendEvent::About if node.now() >= meta.deadline => Err(Code::DeadlinePassed),
+        SendEvent::About if node.is_stopping() => Err(Code::Stopping),
+        _ => Ok(()),
+    };
+    match Box::pin(send_once(node, &check, meta, outgoing)).await {
+        Ok(stored) => stored.response(),
+        Err(code) => codes::refusal(code, ""),
+    }
+}
+
+/// Sends the request to another failure domain.
+pub async fn send_elsewhere(
+    node: &Arc<Node>,
+    check: &(impl Fn(&Node, SendEvent) -> Result<(), Code> + Sync),
+    meta: &Meta,
+    outgoing: &Outgoing,
+    mut code: Code,
+) -> Result<Stored, Code> {
+    for address in steer::other_domains(node, meta) {
+        check(node, SendEvent::About)?;
+        match peer::relay_to(node, address, meta, outgoing).await {
+            Ok(res) => return from_elsewhere(node, meta, res).await,
+            Err(other) => code = other,
+        }
+        check(node, SendEvent::NotExecuted)?;
+    }
+    Err(code)
+}
+
+/// Reads the answer of another failure domain; its own refusals here mean an unknown outcome.
+async fn from_elsewhere(node: &Node, meta: &Meta, res: Response) -> Result<Stored, Code> {
+    let is_refusal = res.header(codes::CODE_HEADER).is_some();
+    let stored = Stored::take(res, meta.deadline, node)
+        .await
+        .ok_or(Code::AnswerCut)?;
+    if is_refusal {
+        Err(Code::ConnectionLost)
+    } else {
+        Ok(stored)
+    }
+}
+
+/// Sends the request to servers until one may have seen it.
+pub async fn send_once(
+    node: &Arc<Node>,
+    check: &(impl Fn(&Node, SendEvent) -> Result<(), Code> + Sync),
+    meta: &Meta,
+    outgoing: &Outgoing,
+) -> Result<Stored, Code> {
+    let mut avoid = Avoid::new();
+    loop {
+        let slot = node.admission.acquire(meta, avoid.clone()).await?;
+        let server = slot.server().clone();
+        let not_run = match send_to(node, check, meta, outgoing, slot).await? {
+            Ok(stored) => return Ok(stored),
+            Err(not_run) => not_run,
+        };
+        check(node, SendEvent::NotExecuted)?;
+        avoid.push(server);
+        let (reason, code) = match not_run {
+            NotRun::Connect => (Reason::Connect, Code::NoServer),
+            NotRun::Shed => (Reason::Shed, Code::ServersShed),
+        };
+        if avoid.len() >= MAX_SERVERS_TRIED || !node.admission.may_retry(&meta.service, reason) {
+            return Err(code);
+        }
+    }
+}
+
+/// Sends the request to one server.
+///
+/// The outer error ends the attempt; the inner one says that the server did not run it.
+async fn send_to(
+    node: &Arc<Node>,
+    check: &(impl Fn(&Node, SendEvent) -> Result<(), Code> + Sync),
+    meta: &Meta,
+    outgoing: &Outgoing,
+    mut slot: Slot,
+) -> Result<Result<Stored, NotRun>, Code> {
+    let remaining = meta.deadline.saturating_sub(node.now());
+    let Some(tcp) = exchange::connect(node, slot.address, remaining).await else {
+        slot.end(Outcome::Failed);
+        return Ok(Err(NotRun::Connect));
+    };
+    // The process may have been paused since the slot was taken: check again before the send.
+    check(node, SendEvent::About)?;
+    let remaining = meta.deadline.saturating_sub(node.now());
+    let limits = AnswerLimits {
+        max_body: MAX_ANSWER,
+        buffered: MAX_ANSWER,
+    };
+    match exchange::send_on(tcp, outgoing.build(remaining), remaining, limits).await {
+        Attempt::Answer(res) => {
+            let stored = Stored::take(*res, meta.deadline, node).await;
+            slot.end(if stored.is_some() {
+                Outcome::Answered
+            } else {
+                Outcome::Failed
+            });
+            stored.map(Ok).ok_or(Code::AnswerCut)
+        }
+        Attempt::NotRun(not_run) => {
+            slot.end(Outcome::Shed);
+            Ok(Err(not_run))
+        }
+        Attempt::Unknown(code) => {
+            slot.end(Outcome::Failed);
+            Err(code)
+        }
+    }
+}
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -38,6 +38,11 @@
 /// Sends a request on a new connection and returns the response with its whole body.
 pub async fn request(addr: SocketAddr, req: Request, options: &ClientOptions) -> Result<Response> {
     let tcp = connect(addr, options.connect_timeout).await?;
+    exchange(tcp, req, options).await
+}
+
+/// Sends a request on an open connection and returns the response with its whole body.
+pub async fn exchange(tcp: TcpStream, req: Request, options: &ClientOptions) -> Result<Response> {
     let whole = async {
         let mut res = Box::pin(send(tcp, req, options)).await?;
         let bytes = res
--- a/components/http/src/peer.rs
+++ b/components/http/src/peer.rs
@@ -1,13 +1,12 @@
 //! Authenticated messages between entry VMs: `MessagePack` bodies with a keyed hash.
 
-use std::net::SocketAddr;
-
+use async_net::TcpStream;
 use error_stack::{Report, ResultExt, bail};
 use http_types::{Body, Method, Request, Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::client::{ClientOptions, build, request};
+use crate::client::{ClientOptions, build, exchange};
 use crate::error::{Error, Result};
 
 /// Header with the key id.
@@ -24,9 +23,9 @@
     pub mac: [u8; 32],
 }
 
-/// Sends a message to a peer and returns its answer.
+/// Sends a message to a peer on an open connection and returns its answer.
 pub async fn call<Q: Serialize, A: DeserializeOwned>(
-    addr: SocketAddr,
+    tcp: TcpStream,
     path: &str,
     message: &Q,
     sign: impl Fn(&[u8]) -> Signature,
@@ -37,7 +36,7 @@
     let signature = sign(&signed_bytes(path, &body));
     signature.insert(&mut req);
     req.set_body(Body::from_bytes(body));
-    let mut res = request(addr, req, options).await?;
+    let mut res = Box::pin(exchange(tcp, req, options)).await?;
     let bytes = res
         .body_bytes()
         .await
