Test the check and plan commands through their exit codes

Cause: scripts rely on the exit codes of docs/EXIT-CODES.md. Change: tests/check_plan.rs runs the built program on the examples and on faulty files.

--- /dev/null
+++ b/tests/check_plan.rs
@@ -0,0 +1,147 @@
+//! The commands `check` and `plan` print faults and effects and return the documented exit codes.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+/// Runs the command line and returns its exit code with all that it printed.
+fn run(args: &[&str]) -> (i32, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_rosemaryglade"));
+    let Output {
+        status,
+        stdout,
+        stderr,
+    } = command.args(args).output().expect("starts");
+    let text = String::from_utf8_lossy(&stdout).into_owned() + &String::from_utf8_lossy(&stderr);
+    (status.code().expect("exit code"), text)
+}
+
+fn example(deployment: &str, file: &str) -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples");
+    root.join(deployment).join(file).display().to_string()
+}
+
+/// Writes a file for one test; tests use different names.
+fn write(name: &str, text: impl AsRef<[u8]>) -> String {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).expect("temporary file");
+    path.display().to_string()
+}
+
+fn plan(rules: &str, before_rules: &str, inventory: &str) -> (i32, String) {
+    let before = example("al-sahl", "inventory.json");
+    run(&[
+        "plan",
+        "--inventory",
+        inventory,
+        "--rules",
+        rules,
+        "--before-inventory",
+        &before,
+        "--before-rules",
+        before_rules,
+        "--at",
+        "1700000000000",
+    ])
+}
+
+/// Guards against examples that a new operator cannot check as documented.
+#[test]
+fn examples_pass_the_check() {
+    let mut args = vec!["check".to_owned()];
+    for deployment in ["notensatz", "al-sahl"] {
+        let files = ["settings.json", "inventory.json", "rules.json"];
+        args.extend(files.map(|file| example(deployment, file)));
+    }
+    let (code, text) = run(&args.iter().map(String::as_str).collect::<Vec<_>>());
+    assert_eq!(
+        (code, &*text),
+        (0, "0 errors, 0 warnings in 6 of 6 files\n")
+    );
+}
+
+/// Guards against a run that stops at the first faulty file.
+#[test]
+fn faults_of_all_files_are_printed() {
+    let rules = write(
+        "faulty-rules.json",
+        "{ drains: { domains: ['irbid-3'] }, retry_budget: 7 }",
+    );
+    let settings = write(
+        "faulty-settings.json",
+        "{ keys: [{ id: 1, secret: 's3cret' }] }",
+    );
+    let broken = write("broken-inventory.json", "{\n regions: [\n}");
+    let inventory = example("al-sahl", "inventory.json");
+    let (code, text) = run(&["check", &rules, &settings, &inventory]);
+    assert_eq!(code, 1, "{text}");
+    assert!(text.contains("drains.domains[0]: error: failure domain \"irbid-3\" does not exist"));
+    assert!(text.contains("retry_budget: error: 7 is no share; give a number from 0 to 1"));
+    assert!(text.contains("keys[0].secret: error: secret is too short"));
+    assert!(text.contains("caller_address: error: field is missing"));
+    assert!(
+        text.contains("in 3 of 3 files") && !text.contains("s3cret"),
+        "{text}"
+    );
+    let (code, text) = run(&["check", "--inventory", &broken, &rules]);
+    assert!(
+        code == 1 && text.contains("broken-inventory.json:3: error"),
+        "{text}"
+    );
+}
+
+/// Guards against exit codes that differ from docs/EXIT-CODES.md.
+#[test]
+fn exit_codes_tell_failures_apart() {
+    let faulty = write("faulty.json", "{ retry_budget: 7 }");
+    let binary = write("binary.json", [b'{', 0xff, b'}']);
+    let unknown = write("unknown.json", "{ colour: 'red' }");
+    for (expected, args) in [
+        (1, vec!["check", &faulty]),
+        (1, vec!["check", &binary]),
+        (1, vec!["check", &unknown]),
+        (2, vec!["check"]),
+        (2, vec!["chekc"]),
+        (2, vec!["plan", "--inventory", "x"]),
+        (5, vec!["check", "no-such-file.json"]),
+        (5, vec!["check", &faulty, "no-such-file.json", &binary]),
+        (0, vec!["check", "--help"]),
+    ] {
+        let (code, text) = run(&args);
+        assert_eq!(code, expected, "{args:?}: {text}");
+    }
+}
+
+/// Guards against plans that hide a passed cap from scripts.
+#[test]
+fn plans_show_shares_and_passed_caps() {
+    let inventory = example("al-sahl", "inventory.json");
+    let rules = example("al-sahl", "rules.json");
+    let (code, text) = plan(&rules, &rules, &inventory);
+    assert_eq!(code, 0, "{text}");
+    assert!(
+        text.contains("service bid-desk") && text.contains("16.67 %"),
+        "{text}"
+    );
+
+    let text = fs::read_to_string(&rules)
+        .expect("example")
+        .replace("\"domains\": []", "domains: ['karak-1']");
+    let drained = write("drained-rules.json", text);
+    let (code, text) = plan(&drained, &rules, &inventory);
+    assert_eq!(code, 6, "{text}");
+    assert!(
+        text.contains("drain starts: failure domain \"karak-1\""),
+        "{text}"
+    );
+    assert!(
+        text.contains("moves 16.67 % at once, 16.67 % in a minute, cap 5.00 %"),
+        "{text}"
+    );
+
+    let (code, _) = plan("no-such-file.json", &rules, &inventory);
+    assert_eq!(code, 5);
+    let faulty = write("plan-faulty-rules.json", "{ retry_budget: 7 }");
+    let (code, text) = plan(&faulty, &rules, &inventory);
+    assert!(code == 1 && text.contains("7 is no share"), "{text}");
+}
