Test each condition of a passed cap alone

Cause: in a trial, removing either condition of ServicePlan::passes_cap failed no test. Change: cases for movement only before the change and for a step excused by a larger old cap. Conclusion: with either condition removed, passing_a_cap_is_detected now fails.

--- a/components/config/tests/plan.rs
+++ b/components/config/tests/plan.rs
@@ -120,6 +120,19 @@
     let found = plan(&before, &nudged, at_ms);
     assert!(service(&found, "werkdienst").step < 0.1 && found.passes_cap());
 
+    // Back to the slots within the minute: only the movement before the change passes the cap.
+    let mut returned = before.clone();
+    returned.rules.shifts.clear();
+    let found = plan(&before, &returned, NOW_MS + 50_000);
+    assert!(service(&found, "werkdienst").moved_after < 0.1 && found.passes_cap());
+
+    // The old cap does not excuse a step under a new, smaller one.
+    let mut loose = example("notensatz");
+    loose.rules.shift_cap_per_minute = 1.0;
+    let mut tight = example("notensatz");
+    tight.rules.drains.domains.push("alpen-1".into());
+    assert!(plan(&loose, &tight, NOW_MS).passes_cap());
+
     let mut region = before.clone();
     region.rules.drains.domains.push("alpen-1".into());
     let found = plan(&before, &region, at_ms);
