Add operator commands that read and change the configuration

Cause: operators need to apply, inspect and reverse configurations, and to drain and shift, without losing a race or guessing after an outage. Ruled out: taking the platform's time anew in each step of a command; the second reading made a planned shift of 10 % pass its 10 % cap. Leaving a drain's planned shift in place on undrain; the domain got no traffic again. Change: apply, show, history, revert-to, drain, undrain and shift. Changes that would pass a cap are refused or, for drains, undrains and reversals, moved by a planned shift. Exit code 7 for an outcome that is unknown. Conclusion: on conflict the commands name the author; on an unreachable platform they say whether the change may have taken effect.

--- a/components/platform/src/apply.rs
+++ b/components/platform/src/apply.rs
@@ -15,6 +15,7 @@
 use serde_json::json;
 
 use crate::client::Client;
+use crate::date::format_time;
 use crate::error::{Error, Result};
 use crate::head::{HEAD_ROW, Head, VersionedHead, decode_head, history_row};
 use crate::table::{Committed, Expect, Put, Row};
@@ -45,9 +46,10 @@
         match self {
             ApplyError::Conflict(head) => write!(
                 f,
-                "the configuration was changed to generation {} by {} at {} ms; \
-                 this change has no effect",
-                head.generation, head.author, head.time_ms
+                "generation {} was made by {} at {}; this change has no effect",
+                head.generation,
+                head.author,
+                format_time(head.time_ms)
             ),
             ApplyError::UnknownBase(generation) => write!(
                 f,
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod client;
+mod date;
 mod error;
 mod head;
 mod objects;
@@ -12,6 +13,7 @@
 
 pub use apply::{ApplyError, apply};
 pub use client::Client;
+pub use date::format_time;
 pub use error::{Error, Result};
 pub use head::{HEAD_ROW, Head, VersionedHead, history_row};
 pub use objects::object_name;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -24,6 +24,34 @@
         command: cmd::plan::command,
         run: cmd::plan::run,
     },
+    Subcommand {
+        command: cmd::apply::command,
+        run: cmd::apply::run,
+    },
+    Subcommand {
+        command: cmd::show::command,
+        run: cmd::show::run,
+    },
+    Subcommand {
+        command: cmd::history::command,
+        run: cmd::history::run,
+    },
+    Subcommand {
+        command: cmd::revert_to::command,
+        run: cmd::revert_to::run,
+    },
+    Subcommand {
+        command: cmd::drain::command,
+        run: cmd::drain::run,
+    },
+    Subcommand {
+        command: cmd::undrain::command,
+        run: cmd::undrain::run,
+    },
+    Subcommand {
+        command: cmd::shift::command,
+        run: cmd::shift::run,
+    },
     Subcommand {
         command: cmd::demo::command,
         run: cmd::demo::run,
--- a/src/cmd/exit.rs
+++ b/src/cmd/exit.rs
@@ -14,12 +14,14 @@
 pub const USAGE: Code = Code(2);
 /// Another operator's change is in force.
 pub const CONFLICT: Code = Code(3);
-/// The platform cannot be reached.
+/// The platform gave no usable answer; nothing was changed.
 pub const UNREACHABLE: Code = Code(4);
 /// A file cannot be read.
 pub const UNREADABLE: Code = Code(5);
 /// A step would move more traffic than its cap allows.
 pub const CAP: Code = Code(6);
+/// The platform did not confirm a change that may have taken effect.
+pub const UNKNOWN: Code = Code(7);
 
 impl From<Code> for ExitCode {
     fn from(code: Code) -> ExitCode {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,11 +1,15 @@
 //! One file per command, each with `command()` and `run(&ArgMatches)`.
 
+pub mod apply;
 pub mod check;
 pub mod demo;
-#[allow(
-    dead_code,
-    reason = "some codes belong to commands that are added separately"
-)]
+pub mod drain;
 pub mod exit;
 pub mod files;
+pub mod history;
+pub mod operator;
 pub mod plan;
+pub mod revert_to;
+pub mod shift;
+pub mod show;
+pub mod undrain;
