--- a/components/limits/src/hedge.rs
+++ b/components/limits/src/hedge.rs
@@ -88,6 +88,11 @@
         Some(Duration::from_micros(micros).max(self.settings.min_delay))
     }
 
+    /// Recent latency at the quantile, for any class; a request that takes longer is unusual.
+    pub fn quantile(&self) -> Option<Duration> {
+        self.delay
+    }
+
     /// Delay after which a request of this class is hedged; `None` if it must not be.
     pub fn delay(&self, class: Class, now: Duration, deadline: Duration) -> Option<Duration> {
         if class != Class::Idempotent {
--- a/components/limits/src/queue.rs
+++ b/components/limits/src/queue.rs
@@ -320,6 +320,12 @@
         None
     }
 
+    /// Class of the entry that [`Queue::pop`] would take, so that a server can be chosen first.
+    pub fn next_class(&self, slots: Slots) -> Option<Class> {
+        let classes = [Class::Binding, Class::Idempotent, Class::Deferrable];
+        self.next_lane(slots).map(|rank| classes[rank])
+    }
+
     /// Takes the next entry to start if a slot is free for it.
     pub fn pop(&mut self, now: Duration, slots: Slots) -> Popped<T> {
         let mut expired = Vec::new();
--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -1,1 +1,7 @@
 //! Load generator, named experiments and capacity measurements.
+//!
+//! The experiments run the decision code of `limits` and `routing` in a small event loop with
+//! virtual time; servers, clients and the network are fakes.
+
+pub mod experiment;
+pub mod model;
--- /dev/null
+++ b/components/load/src/model/stats.rs
@@ -0,0 +1,101 @@
+//! What a run measured.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use config::HouseId;
+use hdrhistogram::Histogram;
+use limits::queue::Refusal;
+
+/// Longest latency that is told apart.
+const MAX_MICROS: u64 = 3_600_000_000;
+
+/// Latency and refusals of a group of requests.
+#[derive(Clone, Debug)]
+pub struct Group {
+    /// Latency of all requests, in microseconds; a refused one counts with its deadline.
+    pub latency: Histogram<u64>,
+    /// Requests.
+    pub requests: u64,
+    /// Refusals by reason.
+    pub refused: BTreeMap<Refusal, u64>,
+}
+
+impl Default for Group {
+    fn default() -> Self {
+        Group {
+            latency: Histogram::new_with_max(MAX_MICROS, 3).expect("bounds are constants"),
+            requests: 0,
+            refused: BTreeMap::new(),
+        }
+    }
+}
+
+impl Group {
+    /// Records a response.
+    pub fn answered(&mut self, latency: Duration) {
+        self.requests += 1;
+        self.latency.saturating_record(latency.as_micros() as u64);
+    }
+
+    /// Records a refusal of a request with this time to its deadline.
+    pub fn refused(&mut self, why: Refusal, deadline: Duration) {
+        self.answered(deadline);
+        *self.refused.entry(why).or_default() += 1;
+    }
+
+    /// Adds another group.
+    pub fn add(&mut self, other: &Group) {
+        self.latency
+            .add(&other.latency)
+            .expect("histograms have equal bounds");
+        self.requests += other.requests;
+        for (why, n) in &other.refused {
+            *self.refused.entry(*why).or_default() += n;
+        }
+    }
+
+    /// Latency at a quantile, in milliseconds.
+    pub fn quantile_ms(&self, quantile: f64) -> f64 {
+        self.latency.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+
+    /// Share of refused requests.
+    pub fn refused_share(&self) -> f64 {
+        let refused: u64 = self.refused.values().sum();
+        refused as f64 / self.requests.max(1) as f64
+    }
+}
+
+/// What a run measured after its warm-up.
+#[derive(Clone, Debug, Default)]
+pub struct Stats {
+    /// By service and house.
+    pub groups: BTreeMap<(usize, HouseId), Group>,
+    /// Attempts that reached a server, by service.
+    pub attempts: BTreeMap<usize, u64>,
+    /// Requests that found all slots of their server busy, over the whole run.
+    pub over_limit: u64,
+    /// Suspensions of servers, over the whole run.
+    pub suspended: u64,
+}
+
+impl Stats {
+    /// All groups of a service that pass the filter, as one.
+    pub fn group(&self, service: usize, filter: impl Fn(&HouseId) -> bool) -> Group {
+        let mut sum = Group::default();
+        for ((s, house), group) in &self.groups {
+            if *s == service && filter(house) {
+                sum.add(group);
+            }
+        }
+        sum
+    }
+
+    /// Attempts per request of a service.
+    pub fn attempts_per_request(&self, service: usize) -> f64 {
+        let requests = self.group(service, |_| true).requests;
+        let attempts = self.attempts.get(&service).copied().unwrap_or(0);
+        attempts as f64 / requests.max(1) as f64
+    }
+}
--- /dev/null
+++ b/components/load/src/model/vm.rs
@@ -0,0 +1,171 @@
+//! One entry VM: the decision code of `limits` and `routing`, and the plain alternative.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use config::{Class, EntryVmId, ServerId};
+use limits::budget::Budget;
+use limits::hedge::{self, Hedge};
+use limits::queue::{self, Queue, Slots};
+use limits::slots::{self, Ledger, Permit};
+use routing::server::{Selector, Settings, Share};
+
+use super::breaker::Breaker;
+use super::link::Link;
+use super::scenario::{Policy, Scenario, Service};
+
+/// A waiting attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Job {
+    /// Request.
+    pub request: u32,
+    /// The attempt is a hedge.
+    pub hedge: bool,
+}
+
+/// What an entry VM keeps for one service.
+#[derive(Debug)]
+pub struct Desk {
+    /// Names of the servers, by index.
+    pub servers: Vec<ServerId>,
+    /// Waiting attempts.
+    pub queue: Queue<Job>,
+    /// Slots.
+    pub ledger: Ledger,
+    /// Choice of server.
+    pub selector: Selector,
+    /// Retry budget.
+    pub budget: Budget,
+    /// Hedge delay.
+    pub hedge: Hedge,
+    /// Breaker per server, for [`Policy::Breaker`].
+    pub breakers: Vec<Breaker>,
+    /// Slots held by deferrable work.
+    pub deferrable: u32,
+    /// Next server of the round robin, for [`Policy::Plain`].
+    pub turn: usize,
+}
+
+impl Desk {
+    /// Creates the state of VM `vm` for a service.
+    fn new(scenario: &Scenario, service: usize, model: &Service, vm: usize) -> Self {
+        let name = |i: usize| -> ServerId { format!("{service}-{i:02}").into() };
+        let servers: Vec<ServerId> = (0..model.servers).map(name).collect();
+        let slots: Vec<_> = servers.iter().map(|s| (s.clone(), model.slots)).collect();
+        let vms: Vec<EntryVmId> = (0..scenario.vms).map(vm_name).collect();
+        let mut parts = slots::split(&slots, &vms, &BTreeSet::new());
+        let mut ledger = Ledger::new(slots::Settings::default(), Duration::ZERO);
+        ledger.adopt(1, parts.remove(&vms[vm]).unwrap_or_default());
+        ledger.peers_settled(1);
+        ledger.confirm(Duration::ZERO);
+        let mut selector = Selector::new(selector_settings(scenario.policy));
+        selector.set_servers(servers.iter().cloned());
+        Desk {
+            breakers: vec![Breaker::new(model.mean * 4); servers.len()],
+            servers,
+            queue: Queue::new(queue::Settings::default()),
+            ledger,
+            selector,
+            budget: Budget::new(config::Rules::default().retry_budget),
+            hedge: Hedge::new(hedge::Settings::default()),
+            deferrable: 0,
+            turn: 0,
+        }
+    }
+
+    /// Slots of this VM, for the queue.
+    pub fn slots(&self) -> Slots {
+        let mut slots = Slots {
+            deferrable: self.deferrable,
+            ..Slots::default()
+        };
+        for id in &self.servers {
+            let usage = self.ledger.usage(id);
+            slots.total += usage.part + usage.borrowed;
+            slots.in_use += usage.part + usage.borrowed - usage.free();
+        }
+        slots
+    }
+
+    /// Chooses a server with a free slot.
+    pub fn choose(
+        &self,
+        now: Duration,
+        class: Class,
+        avoid: &[ServerId],
+        rng: &mut fastrand::Rng,
+    ) -> Option<ServerId> {
+        let share = |id: &ServerId| {
+            let usage = self.ledger.usage(id);
+            let free = match class {
+                Class::Binding => usage.free_own(),
+                Class::Idempotent | Class::Deferrable => usage.free(),
+            };
+            let allowed = self.index(id).is_some_and(|i| self.breakers[i].allows(now));
+            Share {
+                slots: usage.part + usage.borrowed,
+                free: if allowed { free } else { 0 },
+            }
+        };
+        // A trial may be slow, so it takes a request that can be hedged.
+        let may_try = class == Class::Idempotent;
+        self.selector.choose(now, share, avoid, may_try, rng)
+    }
+
+    /// Index of a server.
+    pub fn index(&self, id: &ServerId) -> Option<usize> {
+        self.servers.binary_search(id).ok()
+    }
+}
+
+/// The breaker replaces the comparison of latencies.
+fn selector_settings(policy: Policy) -> Settings {
+    match policy {
+        Policy::Breaker => Settings {
+            latency_weight: 0.0,
+            max_suspended: 0.0,
+            ..Settings::default()
+        },
+        Policy::Plain | Policy::Steered => Settings::default(),
+    }
+}
+
+fn vm_name(vm: usize) -> EntryVmId {
+    format!("vm-{vm}").into()
+}
+
+/// One entry VM.
+#[derive(Debug)]
+pub struct Vm {
+    /// State per service.
+    pub desks: Vec<Desk>,
+    /// Requests that wait for a connection, for [`Policy::Plain`].
+    pub waiting: VecDeque<u32>,
+    /// Requests that wait for a connection, otherwise.
+    pub queue: Queue<u32>,
+    /// Connections.
+    pub connections: Slots,
+    /// Link to clients.
+    pub link: Link,
+    /// Permits of running attempts.
+    pub permits: BTreeMap<u32, Permit>,
+}
+
+impl Vm {
+    /// Creates an entry VM without requests.
+    pub fn new(scenario: &Scenario, vm: usize) -> Self {
+        let services = scenario.services.iter().enumerate();
+        let desks = services.map(|(i, model)| Desk::new(scenario, i, model, vm));
+        Vm {
+            desks: desks.collect(),
+            waiting: VecDeque::new(),
+            queue: Queue::new(queue::Settings::default()),
+            connections: Slots {
+                total: scenario.connections,
+                ..Slots::default()
+            },
+            link: Link::new(scenario.link),
+            permits: BTreeMap::new(),
+        }
+    }
+}
--- a/components/routing/src/server.rs
+++ b/components/routing/src/server.rs
@@ -13,9 +13,6 @@
 /// not suspend a server.
 const SAMPLE_CAP: f64 = 6.0;
 
-/// Weight of one more request per slot against a latency of twice the median.
-const LATENCY_WEIGHT: f64 = 0.5;
-
 /// Weight of the load hint against own in-flight requests.
 const HINT_WEIGHT: f64 = 0.5;
 
@@ -30,6 +27,8 @@
     pub suspend_factor: f64,
     /// Multiple below which a suspended server is used again.
     pub resume_factor: f64,
+    /// Weight of a latency of twice the median against the in-flight requests per slot.
+    pub latency_weight: f64,
     /// Largest share of the servers that may be suspended (0 to 1).
     pub max_suspended: f64,
     /// Time from a suspension to the first trial request; doubles with each slow trial.
@@ -49,6 +48,7 @@
             peak_time: Duration::from_millis(200),
             suspend_factor: 2.5,
             resume_factor: 1.5,
+            latency_weight: 0.5,
             max_suspended: 0.5,
             trial_interval: Duration::from_secs(1),
             max_trial_interval: Duration::from_secs(4),
@@ -300,7 +300,7 @@
             (Some(latency), Some(median)) if median > 0.0 => latency / median,
             _ => 1.0,
         };
-        let slower = LATENCY_WEIGHT * (relative - 1.0).clamp(0.0, SAMPLE_CAP);
+        let slower = self.settings.latency_weight * (relative - 1.0).clamp(0.0, SAMPLE_CAP);
         own + slower + HINT_WEIGHT * server.hint(now, &self.settings)
     }
 
