Serve houses that begin to wait before backlogged ones

Change: the deficit round robin has a list of houses that began to wait since their last turn, as in fair queueing with sparse flows. A house stays in the round after its last entry, so waiting and leaving in turn gains nothing (test one_request_at_a_time_gains_nothing).

--- a/components/limits/src/queue.rs
+++ b/components/limits/src/queue.rs
@@ -12,6 +12,9 @@
 /// Number of classes.
 const CLASSES: usize = 3;
 
+/// Houses without entries that a class keeps; callers choose the names, so there must be a bound.
+const MAX_IDLE_HOUSES: usize = 256;
+
 /// Weight of a new sample in the average service time.
 const SERVICE_TIME_WEIGHT: f64 = 0.05;
 
@@ -103,7 +106,10 @@
 #[derive(Debug)]
 struct Lane<T> {
     houses: BTreeMap<HouseId, House<T>>,
-    /// Houses with waiting entries, in the order of their turns.
+    /// Houses that began to wait since their last turn; they go before `turns`.
+    fresh: VecDeque<HouseId>,
+    /// Other houses in the order of their turns. A house stays for one round after its last
+    /// entry, so that it cannot become fresh by waiting and leaving in turn.
     turns: VecDeque<HouseId>,
     len: usize,
     passed_over: u32,
@@ -113,6 +119,7 @@
     fn new() -> Self {
         Lane {
             houses: BTreeMap::new(),
+            fresh: VecDeque::new(),
             turns: VecDeque::new(),
             len: 0,
             passed_over: 0,
@@ -125,7 +132,7 @@
 
     fn push(&mut self, entry: Entry<T>) {
         let house = self.houses.entry(entry.house.clone()).or_insert_with(|| {
-            self.turns.push_back(entry.house.clone());
+            self.fresh.push_back(entry.house.clone());
             House {
                 entries: VecDeque::new(),
                 deficit: 0,
@@ -138,38 +145,66 @@
 
     /// Takes the next entry by deficit round robin.
     fn pop(&mut self, quantum: u32) -> Option<Entry<T>> {
-        loop {
-            let id = self.turns.front()?.clone();
+        while self.len > 0 {
+            let fresh = self.fresh.front().cloned();
+            let id = fresh.clone().or_else(|| self.turns.front().cloned())?;
             let house = self.houses.get_mut(&id)?;
             if !house.visited {
                 house.visited = true;
                 house.deficit = house.deficit.saturating_add(quantum.max(1));
             }
-            let cost = house.entries.front().map_or(0, |e| e.cost);
-            if cost <= house.deficit {
+            if house
+                .entries
+                .front()
+                .is_some_and(|e| e.cost <= house.deficit)
+            {
                 let entry = house.entries.pop_front()?;
-                house.deficit -= cost;
+                house.deficit -= entry.cost;
                 self.len -= 1;
-                if house.entries.is_empty() {
-                    self.remove_house(&id);
-                }
+                self.clear_if_empty();
                 return Some(entry);
             }
-            house.visited = false;
-            self.turns.rotate_left(1);
+            self.end_turn(&id, fresh.is_some());
+        }
+        None
+    }
+
+    /// The house has used its quantum, or has no entries.
+    fn end_turn(&mut self, id: &HouseId, fresh: bool) {
+        let turns = if fresh {
+            &mut self.fresh
+        } else {
+            &mut self.turns
+        };
+        turns.pop_front();
+        let Some(house) = self.houses.get_mut(id) else {
+            return;
+        };
+        house.visited = false;
+        if house.entries.is_empty() {
+            house.deficit = 0;
+            if !fresh || self.houses.len() > MAX_IDLE_HOUSES {
+                self.houses.remove(id);
+                return;
+            }
+        }
+        self.turns.push_back(id.clone());
+    }
+
+    /// Without waiting entries nobody competes, so the turns need not be kept.
+    fn clear_if_empty(&mut self) {
+        if self.len == 0 {
+            self.houses.clear();
+            self.fresh.clear();
+            self.turns.clear();
         }
     }
 
     /// Removes the newest entry of the house with the most waiting entries.
     fn pop_longest(&mut self) -> Option<Entry<T>> {
         let (id, _) = self.longest()?;
-        let house = self.houses.get_mut(&id)?;
-        let entry = house.entries.pop_back();
-        let empty = house.entries.is_empty();
+        let entry = self.houses.get_mut(&id)?.entries.pop_back();
         self.len -= usize::from(entry.is_some());
-        if empty {
-            self.remove_house(&id);
-        }
         entry
     }
 
@@ -178,29 +213,14 @@
         longest.map(|(id, h)| (id.clone(), h.entries.len()))
     }
 
-    fn remove_house(&mut self, id: &HouseId) {
-        self.houses.remove(id);
-        self.turns.retain(|t| t != id);
-    }
-
     fn expire(&mut self, now: Duration, expired: &mut Vec<Entry<T>>) {
-        let mut emptied = Vec::new();
-        for (id, house) in &mut self.houses {
-            let entries = std::mem::take(&mut house.entries);
-            for entry in entries {
-                if entry.deadline <= now {
-                    self.len -= 1;
-                    expired.push(entry);
-                } else {
-                    house.entries.push_back(entry);
-                }
-            }
-            if house.entries.is_empty() {
-                emptied.push(id.clone());
-            }
-        }
-        for id in emptied {
-            self.remove_house(&id);
+        for house in self.houses.values_mut() {
+            let (late, kept) = std::mem::take(&mut house.entries)
+                .into_iter()
+                .partition(|e| e.deadline <= now);
+            house.entries = kept;
+            self.len -= VecDeque::len(&late);
+            expired.extend(late);
         }
     }
 }
--- a/components/limits/tests/queue.rs
+++ b/components/limits/tests/queue.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use config::Class;
+use config::{Class, HouseId};
 use limits::queue::{Entry, Queue, Refusal, Settings, Slots, deferrable_limit};
 use proptest::prelude::*;
 
@@ -76,6 +76,27 @@
     assert_eq!(houses.iter().filter(|h| &***h == "quiet").count(), 5);
 }
 
+/// Guards against a house that is always new to the round robin because it queues one request at
+/// a time, and against a longer wait of such a house behind a backlog.
+#[test]
+fn one_request_at_a_time_gains_nothing() {
+    let mut q = queue(1_000);
+    for i in 0..200 {
+        push(&mut q, entry(Class::Idempotent, "loud", i)).expect("room");
+    }
+    // The first house to wait is new as well, and its first turn comes first.
+    assert_eq!(pop(&mut q).map(|e| e.house).as_deref(), Some("loud"));
+    let mut houses: Vec<HouseId> = Vec::new();
+    for i in 0..100 {
+        if houses.last().is_none_or(|h| **h == *"single") {
+            push(&mut q, entry(Class::Idempotent, "single", i)).expect("room");
+        }
+        houses.extend(pop(&mut q).map(|e| e.house));
+    }
+    assert_eq!(&*houses[0], "single");
+    assert_eq!(houses.iter().filter(|h| &***h == "single").count(), 50);
+}
+
 /// Guards against a house that gains by making each request more expensive.
 #[test]
 fn cost_counts_in_the_round_robin() {
