Fill the retry budget with started requests only

Cause: requests refused before a server saw them added tokens, so a flood could finance hedges. Change: the event loop records a request in the budget when its first attempt starts.

--- a/components/load/src/model/run.rs
+++ b/components/load/src/model/run.rs
@@ -287,7 +287,6 @@
             self.start(request, server, work);
             return;
         }
-        desk.budget.record_request();
         let job = Job {
             request,
             hedge: false,
--- a/components/load/src/model/run/attempts.rs
+++ b/components/load/src/model/run/attempts.rs
@@ -56,6 +56,9 @@
             let other = desk.choose(self.now, class, &[avoid], &mut self.rng);
             server = other.unwrap_or(server);
             work = draw(self.scenario.services[service].mean, &mut self.rng);
+        } else {
+            // Refused requests add nothing to the budget: servers never see them.
+            desk.budget.record_request();
         }
         let permit = desk.ledger.acquire(self.now, &server, class);
         let permit = permit.expect("the chosen server has a free slot");
