Add capacity measurements and experiment shift

Sorting all entry VMs per answer; 38 us at 600 VMs. Change: chunks know their prefix lengths and the outer blocks of their first block; look-up answers keep the first few VMs of each tier in one pass.

--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -1,1 +1,4 @@
 //! Load generator, named experiments and capacity measurements.
+
+pub mod capacity;
+pub mod shift;
--- a/components/routing/src/blocks/chunk.rs
+++ b/components/routing/src/blocks/chunk.rs
@@ -30,6 +30,19 @@
         .unwrap_or(0)
 }
 
+/// Bit of a prefix length in a set of lengths. Length 128 has none: such a block contains no
+/// other.
+pub fn bit(length: u8) -> u128 {
+    1u128.checked_shl(u32::from(length)).unwrap_or(0)
+}
+
+/// Set of all lengths up to `limit`.
+pub fn up_to(limit: u8) -> u128 {
+    2u128
+        .checked_shl(u32::from(limit))
+        .map_or(u128::MAX, |b| b.wrapping_sub(1))
+}
+
 /// A block and its site.
 pub type Entry = (Key, Site);
 
@@ -38,6 +51,7 @@
 #[derive(Debug)]
 pub struct Chunk {
     base: u128,
+    lengths: u128,
     shift: u8,
     width: u8,
     data: Box<[u8]>,
@@ -59,6 +73,7 @@
         }
         Chunk {
             base,
+            lengths: entries.iter().fold(0, |acc, (k, _)| acc | bit(k.length)),
             shift: shift as u8,
             width,
             data: data.into_boxed_slice(),
@@ -79,18 +94,68 @@
         (self.key(index), site)
     }
 
-    /// Last entry whose key is at most `key`.
-    pub fn last_at_or_before(&self, key: Key) -> Option<Entry> {
-        let (mut low, mut high) = (0, self.len());
+    /// Last entry whose key is at most `key`, which must not be before the first block.
+    pub fn last_at_or_before(&self, key: Key) -> Entry {
+        let width = usize::from(self.width);
+        let distance = key.bits - self.base;
+        let offset = distance >> self.shift;
+        let bytes = offset.to_be_bytes();
+        if bytes[..16 - width].iter().any(|b| *b > 0) {
+            return self.entry(self.len() - 1);
+        }
+        // Offsets are compared as big-endian bytes, followed by the length.
+        let mut wanted = [u8::MAX; 17];
+        wanted[..width].copy_from_slice(&bytes[16 - width..]);
+        if offset << self.shift == distance {
+            wanted[width] = key.length;
+        }
+        let wanted = &wanted[..=width];
+        let (mut low, mut high) = (1, self.len());
         while low < high {
             let middle = usize::midpoint(low, high);
-            if self.key(middle) <= key {
+            let at = middle * self.stride();
+            if &self.data[at..=at + width] <= wanted {
                 low = middle + 1;
             } else {
                 high = middle;
             }
         }
-        low.checked_sub(1).map(|i| self.entry(i))
+        self.entry(low - 1)
+    }
+
+    /// Longest block of the chunk, no longer than `limit`, that contains the address.
+    pub fn longest(&self, addr: u128, limit: u8) -> Option<Entry> {
+        let mut lengths = self.lengths & up_to(limit);
+        while lengths != 0 {
+            let length = 127 - lengths.leading_zeros() as u8;
+            lengths &= !bit(length);
+            let bits = addr & mask(length);
+            if bits < self.base {
+                return None;
+            }
+            let wanted = Key { bits, length };
+            if wanted >= self.key(0) {
+                let entry = self.last_at_or_before(wanted);
+                if entry.0 == wanted {
+                    return Some(entry);
+                }
+            }
+        }
+        None
+    }
+
+    /// Lengths of the blocks of the chunk that contain the address, as a set of bits.
+    pub fn covering(&self, addr: u128) -> u128 {
+        let mut out = 0;
+        let mut limit = 127;
+        while let Some((key, _)) = self.longest(addr, limit) {
+            out |= bit(key.length);
+            match key.length.checked_sub(1) {
+                Some(l) => limit = l,
+                None => break,
+            }
+        }
+        out
     }
 
     /// Bytes on the heap besides the chunk itself.
--- a/components/routing/src/blocks/table.rs
+++ b/components/routing/src/blocks/table.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::Site;
-use super::chunk::{Chunk, Entry, Key, mask};
+use super::chunk::{Chunk, Entry, Key, mask, up_to};
 
 /// Blocks per chunk when a table is built. A change copies one chunk, a look-up searches one.
 const CHUNK: usize = 512;
@@ -24,30 +24,43 @@
 /// Immutable sorted table.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
+    /// First block of each chunk.
     firsts: Vec<Key>,
+    /// Lengths of the blocks in earlier chunks that contain the first block of each chunk.
+    outer: Vec<u128>,
     chunks: Vec<Arc<Chunk>>,
 }
 
 impl Table {
     /// Site of the longest block that contains the address.
     pub fn look_up(&self, addr: u128) -> Option<Site> {
-        let mut key = Key {
+        let last = Key {
             bits: addr,
             length: 128,
         };
-        loop {
-            let (found, site) = self.last_at_or_before(key)?;
-            if found.contains(addr) {
-                return Some(site);
-            }
-            // A block that contains the address sorts before the one found, so it contains both
-            // and is no longer than their common prefix. Each round shortens that prefix.
-            let common = (found.bits ^ addr).leading_zeros() as u8;
-            key = Key {
-                bits: addr & mask(common),
-                length: common,
-            };
+        let i = self.chunk_of(last)?;
+        let (found, site) = self.chunks[i].last_at_or_before(last);
+        if found.contains(addr) {
+            return Some(site);
         }
+        // Any block that contains the address sorts before the one found, so it contains both and
+        // is no longer than their common prefix.
+        let common = (found.bits ^ addr).leading_zeros() as u8;
+        if let Some((_, site)) = self.chunks[i].longest(addr, common) {
+            return Some(site);
+        }
+        // A block of an earlier chunk contains the first block of this one as well.
+        let first = self.firsts[i];
+        let common = first.length.min((first.bits ^ addr).leading_zeros() as u8);
+        let lengths = self.outer[i] & up_to(common);
+        let length = 127u8.checked_sub(lengths.leading_zeros() as u8)?;
+        let key = Key {
+            bits: addr & mask(length),
+            length,
+        };
+        let (found, site) = self.chunks[self.chunk_of(key)?].last_at_or_before(key);
+        debug_assert_eq!(found, key);
+        Some(site)
     }
 
     /// Table with ascending edits applied, or the first edit that does not fit.
@@ -93,6 +106,7 @@
         let chunks: usize = self.chunks.iter().map(|c| chunk + c.heap_bytes()).sum();
         chunks
             + self.firsts.capacity() * size_of::<Key>()
+            + self.outer.capacity() * size_of::<u128>()
             + self.chunks.capacity() * size_of::<Arc<Chunk>>()
     }
 
@@ -106,9 +120,22 @@
         shared.count()
     }
 
-    fn last_at_or_before(&self, key: Key) -> Option<Entry> {
-        let i = self.firsts.partition_point(|f| *f <= key).checked_sub(1)?;
-        self.chunks[i].last_at_or_before(key)
+    /// Chunk that holds the last block at or before a key.
+    fn chunk_of(&self, key: Key) -> Option<usize> {
+        self.firsts.partition_point(|f| *f <= key).checked_sub(1)
+    }
+
+    /// Recomputes the lengths of outer blocks from chunk to chunk.
+    fn link(&mut self) {
+        let mut outer = 0;
+        self.outer = Vec::with_capacity(self.chunks.len());
+        for (i, first) in self.firsts.iter().enumerate() {
+            if let Some(before) = i.checked_sub(1) {
+                let common = (self.firsts[before].bits ^ first.bits).leading_zeros() as u8;
+                outer = (outer & up_to(common)) | self.chunks[before].covering(first.bits);
+            }
+            self.outer.push(outer);
+        }
     }
 }
 
@@ -135,6 +162,7 @@
         }
         self.table.firsts.shrink_to_fit();
         self.table.chunks.shrink_to_fit();
+        self.table.link();
         self.table
     }
 
--- a/components/routing/src/entry_vm.rs
+++ b/components/routing/src/entry_vm.rs
@@ -76,15 +76,23 @@
     region: &RegionId,
     rng: &mut Rng,
 ) -> Order {
-    let mut ranked: Vec<(u8, f64, &EntryVmView)> = vms
-        .iter()
-        .map(|vm| (tier(vm, domain, region), key(vm.free, rng), vm))
-        .collect();
-    ranked.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-    if ranked.iter().any(|(t, ..)| *t < LEAVING) {
-        ranked.retain(|(t, ..)| *t < LEAVING);
+    // The first few of each tier are kept while passing: sorting all of 600 VMs took several
+    // times as long.
+    let mut tiers: [Best; 9] = Default::default();
+    for (i, vm) in vms.iter().enumerate() {
+        let best = &mut tiers[tier(vm, domain, region)];
+        let key = key(vm.free, rng);
+        let at = best.partition_point(|(k, _)| *k < key);
+        if at < settings.count {
+            best.truncate(settings.count - 1);
+            best.insert(at, (key, i));
+        }
+    }
+    if tiers[..LEAVING].iter().any(|t| !t.is_empty()) {
+        tiers[LEAVING..].fill(Best::new());
     }
-    limit(settings, ranked)
+    let chosen = choose(settings, &tiers);
+    chosen.into_iter().map(|i| vms[i].id.clone()).collect()
 }
 
 /// Lifetime of an answer: short while one of its VMs is not ready or there is only one, so that
@@ -103,9 +111,12 @@
 }
 
 /// First tier of leaving VMs.
-const LEAVING: u8 = 6;
+const LEAVING: usize = 6;
 
-fn tier(vm: &EntryVmView, domain: &DomainId, region: &RegionId) -> u8 {
+/// First VMs of a tier, by key.
+type Best = SmallVec<[(f64, usize); 4]>;
+
+fn tier(vm: &EntryVmView, domain: &DomainId, region: &RegionId) -> usize {
     let state = match vm.state {
         State::Ready => 0,
         State::Uncertain => 3,
@@ -114,7 +125,7 @@
     let place = if vm.domain == *domain {
         0
     } else {
-        1 + u8::from(vm.region != *region)
+        1 + usize::from(vm.region != *region)
     };
     state + place
 }
@@ -126,26 +137,26 @@
 }
 
 /// Takes the first VMs, at most so many of each tier; further ones fill places that stay empty.
-fn limit(settings: &Settings, ranked: Vec<(u8, f64, &EntryVmView)>) -> Order {
-    let most = |tier: u8| match tier {
+fn choose(settings: &Settings, tiers: &[Best]) -> SmallVec<[usize; 4]> {
+    let most = |tier: usize| match tier {
         0 => settings.preferred,
         1 => settings.region,
         _ => settings.count,
     };
-    let mut chosen: Vec<(u8, &EntryVmView)> = Vec::new();
-    let mut spare = Vec::new();
-    for (tier, _, vm) in ranked {
-        let taken = chosen.iter().filter(|(t, _)| *t == tier).count();
-        let list = if taken < most(tier) {
-            &mut chosen
-        } else {
-            &mut spare
-        };
-        list.push((tier, vm));
+    let mut left = settings.count;
+    let mut counts: SmallVec<[usize; 9]> = SmallVec::new();
+    for (tier, best) in tiers.iter().enumerate() {
+        let count = best.len().min(most(tier)).min(left);
+        left -= count;
+        counts.push(count);
+    }
+    for (count, best) in counts.iter_mut().zip(tiers) {
+        let more = (best.len() - *count).min(left);
+        left -= more;
+        *count += more;
     }
-    chosen.truncate(settings.count);
-    let missing = settings.count - chosen.len();
-    chosen.extend(spare.into_iter().take(missing));
-    chosen.sort_by_key(|(t, _)| *t);
-    chosen.into_iter().map(|(_, vm)| vm.id.clone()).collect()
+    let taken = tiers.iter().zip(counts);
+    taken
+        .flat_map(|(best, count)| best[..count].iter().map(|(_, i)| *i))
+        .collect()
 }
