--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -3,5 +3,7 @@
 //! The experiments run the decision code of `limits` and `routing` in a small event loop with
 //! virtual time; servers, clients and the network are fakes.
 
+pub mod capacity;
 pub mod experiment;
 pub mod model;
+pub mod shift;
--- a/components/load/src/main.rs
+++ b/components/load/src/main.rs
@@ -1,39 +1,60 @@
-//! `rosemaryglade-load`: named experiments.
+//! `rosemaryglade-load`: named experiments and capacity measurements.
 
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use load::experiment;
+use load::{capacity, experiment, shift};
+
+/// Name of the shift experiment, which has a report of its own.
+const SHIFT: &str = "shift";
 
 fn main() -> ExitCode {
     env_logger::init();
     let matches = command().get_matches();
     match matches.subcommand() {
         Some(("experiment", args)) => run_experiment(args),
+        Some(("capacity", args)) => run_capacity(args),
         _ => ExitCode::FAILURE,
     }
 }
 
 fn command() -> Command {
-    let names = experiment::ALL.map(|(name, _)| name);
+    let names: Vec<&str> = experiment::ALL
+        .iter()
+        .map(|(name, _)| *name)
+        .chain([SHIFT])
+        .collect();
+    let seed = Arg::new("seed")
+        .long("seed")
+        .value_parser(value_parser!(u64))
+        .default_value("1")
+        .help("Seed of all random numbers");
     let experiment = Command::new("experiment")
         .about("Runs a named experiment; fails if a goal is missed")
         .arg(Arg::new("NAME").required(true).value_parser(names))
-        .arg(
-            Arg::new("seed")
-                .long("seed")
-                .value_parser(value_parser!(u64))
-                .default_value("1"),
-        );
+        .arg(seed.clone());
+    let capacity = Command::new("capacity")
+        .about("Prints the measured slopes that docs/CAPACITY.md is worked out from")
+        .arg(seed);
     Command::new("rosemaryglade-load")
-        .about("Load generation and experiments")
+        .about("Experiments and capacity measurements")
         .subcommand_required(true)
         .subcommand(experiment)
+        .subcommand(capacity)
+}
+
+fn seed_of(args: &ArgMatches) -> u64 {
+    args.get_one::<u64>("seed").copied().unwrap_or(1)
 }
 
 fn run_experiment(args: &ArgMatches) -> ExitCode {
     let name = args.get_one::<String>("NAME").map_or("", String::as_str);
-    let seed = args.get_one::<u64>("seed").copied().unwrap_or(1);
+    let seed = seed_of(args);
+    if name == SHIFT {
+        let report = shift::run(seed);
+        println!("{report}");
+        return ExitCode::from(u8::from(!report.met()));
+    }
     let Some((_, run)) = experiment::ALL.iter().find(|(n, _)| *n == name) else {
         return ExitCode::FAILURE;
     };
@@ -41,3 +62,13 @@
     println!("{report}");
     ExitCode::from(u8::from(!report.missed().is_empty()))
 }
+
+fn run_capacity(args: &ArgMatches) -> ExitCode {
+    match capacity::run(seed_of(args), &mut std::io::stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("capacity: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
