--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -20,7 +20,7 @@
 /// Builds the definition with its help.
 pub fn command() -> Command {
     Command::new("demo")
-        .about("Runs an example deployment inside this process and checks its answers")
+        .about("Run an example deployment inside this process and check its answers")
         .long_about(
             "Starts the platform stand-in, the backend servers and the entry VMs of the Notensatz \
              example inside this process, on free loopback ports. Sends requests of each class, \
