--- a/src/cmd/operator.rs
+++ b/src/cmd/operator.rs
@@ -207,7 +207,7 @@
                 exit::CONFLICT
             }
             ApplyError::NotApplied => {
-                eprintln!("error: the platform did not accept the change: {report:#}");
+                eprintln!("error: {report:#}");
                 eprintln!(
                     "The change has no effect and will not take effect later. Run the same command \
                      again when the platform can be reached."
@@ -218,7 +218,7 @@
                 generation,
                 operation,
             } => {
-                eprintln!("error: the platform did not confirm the change: {report:#}");
+                eprintln!("error: {report:#}");
                 eprintln!(
                     "The change may have taken effect as generation {generation}, may still take \
                      effect, or never will. Run `rosemaryglade history --platform {platform}` until \
