Read large inventories with less memory

Change: files are compared first and parsed directly; the repaired copy is built only after a fault. Names are compared by their first 64 characters.

--- a/components/config/src/fault.rs
+++ b/components/config/src/fault.rs
@@ -88,6 +88,11 @@
         self.add(Severity::Error, Some(line), "", message.into(), fix.into());
     }
 
+    /// True if no fault was found.
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
     /// The faults found.
     pub fn into_vec(self) -> Vec<Fault> {
         self.list
--- a/components/config/src/near.rs
+++ b/components/config/src/near.rs
@@ -36,11 +36,14 @@
     all.into_iter().map(|(_, k)| k).collect()
 }
 
+/// Characters of a name that are compared; the time grows with the product of both lengths.
+const COMPARED: usize = 64;
+
 /// Edit distance (insertions, deletions, substitutions) in characters.
 fn distance(a: &str, b: &str) -> usize {
-    let b: Vec<char> = b.chars().collect();
+    let b: Vec<char> = b.chars().take(COMPARED).collect();
     let mut row: Vec<usize> = (0..=b.len()).collect();
-    for (i, x) in a.chars().enumerate() {
+    for (i, x) in a.chars().take(COMPARED).enumerate() {
         let mut diagonal = row[0];
         row[0] = i + 1;
         for (j, y) in b.iter().enumerate() {
--- a/components/config/src/parse.rs
+++ b/components/config/src/parse.rs
@@ -15,7 +15,7 @@
 use crate::rules::Rules;
 use crate::settings::Settings;
 use crate::shape::{self, Field};
-use crate::walk::walk;
+use crate::walk::{compare, repair};
 
 /// Result of reading a file or configuration.
 pub type Result<T> = std::result::Result<T, Report<Error>>;
@@ -201,11 +201,18 @@
                 faults.error_at(line, message, "correct the JSON text near this line");
             }
             Ok(node) => {
-                let walked = walk(&node, fields, &mut faults);
-                replaced = walked.replaced;
-                match serde_json::from_value(walked.value) {
-                    Ok(read) => value = Some(read),
-                    Err(_) => faults.error("", "the content does not fit its fields", "correct it"),
+                compare(&node, fields, &mut faults);
+                if faults.is_empty() {
+                    drop(node);
+                    value = json5::from_str(text).ok();
+                } else {
+                    faults = Faults::new(file);
+                    let repaired = repair(&node, fields, &mut faults);
+                    replaced = repaired.replaced;
+                    value = serde_json::from_value(repaired.value).ok();
+                }
+                if value.is_none() {
+                    faults.error("", "the content does not fit its fields", "correct it");
                 }
             }
         }
--- a/components/config/src/walk.rs
+++ b/components/config/src/walk.rs
@@ -1,6 +1,5 @@
 //! Compares a tree of JSON values with the shape of a file and reports every difference.
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use serde_json::{Map, Value};
@@ -19,11 +18,23 @@
     pub replaced: Vec<Box<str>>,
 }
 
-/// Compares the content of a file with its fields.
-pub(crate) fn walk(node: &Node, fields: &'static [Field], faults: &mut Faults) -> Walked {
+/// Compares the content of a file with its fields and reports the differences.
+pub(crate) fn compare(node: &Node, fields: &'static [Field], faults: &mut Faults) {
     let mut walker = Walker {
         faults,
         replaced: Vec::new(),
+        build: false,
+    };
+    walker.value("", Kind::Object(fields), node);
+}
+
+/// Compares the content of a file with its fields and repairs it. This takes several times the
+/// memory of `compare`.
+pub(crate) fn repair(node: &Node, fields: &'static [Field], faults: &mut Faults) -> Walked {
+    let mut walker = Walker {
+        faults,
+        replaced: Vec::new(),
+        build: true,
     };
     let value = walker.value("", Kind::Object(fields), node);
     Walked {
@@ -35,6 +46,8 @@
 struct Walker<'a> {
     faults: &'a mut Faults,
     replaced: Vec<Box<str>>,
+    /// False if only the faults are wanted, so that lists and objects stay empty.
+    build: bool,
 }
 
 impl Walker<'_> {
@@ -42,10 +55,7 @@
         match (kind, node) {
             (Kind::Object(fields), Node::Map(entries)) => self.object(path, fields, entries),
             (Kind::Map(inner), Node::Map(entries)) => self.map(path, *inner, entries),
-            (Kind::List(inner), Node::List(nodes)) => {
-                let item = |(i, n)| self.value(&format!("{path}[{i}]"), *inner, n);
-                Value::Array(nodes.iter().enumerate().map(item).collect())
-            }
+            (Kind::List(inner), Node::List(nodes)) => self.list(path, *inner, nodes),
             (Kind::Text | Kind::Secret, Node::Text(text)) => Value::String(text.to_string()),
             (Kind::Whole(max), Node::Whole(n)) if *n <= max => Value::from(*n),
             (Kind::Number, Node::Whole(n)) => Value::from(*n),
@@ -59,6 +69,17 @@
         }
     }
 
+    fn list(&mut self, path: &str, kind: Kind, nodes: &[Node]) -> Value {
+        let mut list = Vec::new();
+        for (i, node) in nodes.iter().enumerate() {
+            let value = self.value(&format!("{path}[{i}]"), kind, node);
+            if self.build {
+                list.push(value);
+            }
+        }
+        Value::Array(list)
+    }
+
     fn object(
         &mut self,
         path: &str,
@@ -66,23 +87,27 @@
         entries: &[(Box<str>, Node)],
     ) -> Value {
         let mut map = Map::new();
-        let mut seen = HashSet::new();
+        let mut seen = Vec::with_capacity(entries.len().min(fields.len()));
         for (name, node) in entries {
             let Some(field) = fields.iter().find(|f| f.name == &**name) else {
                 self.unknown_field(path, fields, name);
                 continue;
             };
             let inner = join(path, name);
-            if seen.insert(field.name) {
-                map.insert(field.name.into(), self.value(&inner, field.kind, node));
-            } else {
+            if seen.contains(&field.name) {
                 self.faults
                     .error(&inner, "field is given twice", "keep one of the two");
+                continue;
+            }
+            seen.push(field.name);
+            let value = self.value(&inner, field.kind, node);
+            if self.build {
+                map.insert(field.name.into(), value);
             }
         }
         for field in fields
             .iter()
-            .filter(|f| f.required && !seen.contains(f.name))
+            .filter(|f| f.required && !seen.contains(&f.name))
         {
             let inner = join(path, field.name);
             self.faults.error(
