Steer requests by shares under the shift caps, and spill by measured headroom

Cause: entry VMs served locally first whatever a shift prescribed, and a domain drain took effect at once, past any cap. Ruled out: using the shift's shares for all callers (a drain of one domain would send callers of all others across regions). Change: the work of each domain's callers follows the change against the nominal shares (routing::shift::home_shares), limited per node by Placement and Steering; a drained domain keeps its shrinking share; look-ups name other domains only after the whole work has moved; heartbeats and digests carry free slots of the domain per service.

--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -404,13 +404,13 @@
 
     fn adopt(&mut self, cfg: &InForce, service: &ServiceId, domain: &str) {
         self.budget.set_share(cfg.rules().retry_budget);
-        let domain_drained = cfg.is_domain_drained(domain);
         let mut servers = BTreeMap::new();
         for server in cfg.servers_of(service, domain) {
             let known = self.servers.get(&server.id);
             let state = ServerState {
                 address: server.address,
-                drained: domain_drained || cfg.is_server_drained(&server.id),
+                // The work of a drained domain leaves under the cap of a shift, not at once.
+                drained: cfg.is_server_drained(&server.id),
                 listed_leaving: known.is_some_and(|s| s.listed_leaving),
                 reported: known.map_or(State::Ready, |s| s.reported),
             };
--- a/components/entry/src/agents/digests.rs
+++ b/components/entry/src/agents/digests.rs
@@ -59,7 +59,7 @@
         domain: node.settings.domain.clone(),
         vm: node.identity.vm.clone(),
         generation: node.generation(),
-        free_slots: node.admission.free_slots(),
+        free_slots: node.domain_free_slots(),
         age: Duration::ZERO,
     };
     DigestWire::from(&digest)
--- a/components/entry/src/agents/heartbeats.rs
+++ b/components/entry/src/agents/heartbeats.rs
@@ -1,9 +1,10 @@
 //! Heartbeats between the entry VMs of the domain.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use async_channel::Receiver;
-use config::{EntryVmId, Generation};
+use config::{EntryVmId, Generation, ServiceId};
 use membership::{Heard, Heartbeat, HeartbeatWire};
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +21,8 @@
     pub heartbeat: HeartbeatWire,
     /// Newest generation under which everything in use fits the sender's slots.
     pub settled: Generation,
+    /// Free slots per service at the sender.
+    pub free: BTreeMap<ServiceId, u32>,
 }
 
 /// Sends heartbeats at each tick.
@@ -34,6 +37,7 @@
         }
         node.refresh_split();
         node.admission.tick();
+        node.steers.update(&node);
     }
 }
 
@@ -64,10 +68,10 @@
 /// Builds the own heartbeat.
 pub fn own(node: &Node) -> Message {
     let generation = node.generation();
-    let free = node.admission.free_slots().values().sum();
+    let free = node.admission.free_slots();
     let heartbeat = node
         .lock_membership()
-        .heartbeat(generation, free, node.now());
+        .heartbeat(generation, free.values().sum(), node.now());
     let settled = if node.admission.is_settled() {
         generation
     } else {
@@ -76,6 +80,7 @@
     Message {
         heartbeat: HeartbeatWire::from(&heartbeat),
         settled,
+        free,
     }
 }
 
@@ -89,6 +94,7 @@
     match heard {
         Heard::Accepted | Heard::NewIncarnation => {
             node.set_peer_settled(&heartbeat.vm, message.settled);
+            node.set_peer_free(&heartbeat.vm, message.free);
             node.refresh_split();
         }
         Heard::OwnId => {
--- a/components/entry/src/in_force.rs
+++ b/components/entry/src/in_force.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use config::{
     BackendServer, Class, Configuration, DomainId, EntryVm, EntryVmId, FailureDomain, Generation,
-    RegionId, Rules, ServiceId,
+    Link, RegionId, Rules, ServiceId,
 };
+use routing::Shares;
 use routing::blocks::BlockMap;
 
 /// An accepted configuration and what the request path needs of it.
@@ -29,6 +31,10 @@
     sites: Vec<DomainId>,
     /// Region per failure domain.
     regions: BTreeMap<DomainId, RegionId>,
+    /// Shares per service in proportion to slots, as if no domain were drained.
+    nominal: BTreeMap<ServiceId, Shares>,
+    /// Shares per service without a shift.
+    resting: BTreeMap<ServiceId, Shares>,
 }
 
 impl InForce {
@@ -53,6 +59,19 @@
         // The checks of the configuration have already refused invalid blocks.
         let (blocks, sites) =
             BlockMap::from_inventory(&inventory.client_blocks).unwrap_or_default();
+        let services = || inventory.services.iter().map(|s| s.id.clone());
+        let resting = services()
+            .map(|s| (s.clone(), config::slot_shares(&configuration, &s)))
+            .collect();
+        let mut undrained = Configuration {
+            rules: configuration.rules.clone(),
+            inventory: inventory.clone(),
+        };
+        undrained.rules.drains.domains.clear();
+        undrained.rules.drains.regions.clear();
+        let nominal = services()
+            .map(|s| (s.clone(), config::slot_shares(&undrained, &s)))
+            .collect();
         InForce {
             generation,
             object,
@@ -62,6 +81,8 @@
             blocks,
             sites,
             regions,
+            nominal,
+            resting,
         }
     }
 
@@ -113,6 +134,64 @@
             .filter(move |s| &*s.service == service && &*s.domain == domain)
     }
 
+    /// Returns the shares of a service in proportion to slots, as if no domain were drained.
+    pub fn nominal_shares(&self, service: &str) -> &Shares {
+        static NONE: Shares = Shares::new();
+        self.nominal.get(service).unwrap_or(&NONE)
+    }
+
+    /// Returns the shares that the configuration prescribes for a service at a platform time.
+    pub fn shares(&self, service: &str, now_ms: u64) -> Shares {
+        match self.rules().shifts.get(service) {
+            Some(shift) => {
+                let cap = config::cap_per_minute(self.rules(), shift.reason);
+                config::share_at(shift, cap, now_ms)
+            }
+            None => self.resting.get(service).cloned().unwrap_or_default(),
+        }
+    }
+
+    /// Tells whether a drained domain has handed over all of its work by a platform time.
+    ///
+    /// A node moves its whole work in one minute divided by the cap.
+    pub fn has_left(&self, domain: &str, now_ms: u64) -> bool {
+        let is_moved = |shift: &config::Shift| {
+            let cap = config::cap_per_minute(self.rules(), shift.reason);
+            let minutes = now_ms.saturating_sub(shift.start_ms) as f64 / 60_000.0;
+            minutes * cap >= 1.0
+        };
+        self.is_domain_drained(domain) && self.rules().shifts.values().all(is_moved)
+    }
+
+    /// Returns the slots of a service in a failure domain.
+    pub fn domain_slots(&self, service: &str, domain: &str) -> u32 {
+        let servers = self.servers_of(service, domain);
+        servers
+            .filter(|s| !self.is_server_drained(&s.id))
+            .map(|s| s.slots)
+            .sum()
+    }
+
+    /// Returns the directed link between two regions.
+    pub fn link(&self, from: &str, to: &str) -> Option<&Link> {
+        let links = &self.configuration.inventory.links;
+        links.iter().find(|l| &*l.from == from && &*l.to == to)
+    }
+
+    /// Returns the one-way delay between failure domains of two regions.
+    pub fn delay(&self, from: &RegionId, to: &RegionId) -> Duration {
+        let ms = if from == to {
+            let regions = &self.configuration.inventory.regions;
+            regions
+                .iter()
+                .find(|r| r.id == *from)
+                .map_or(0.0, |r| r.domain_delay_ms)
+        } else {
+            self.link(from, to).map_or(0.0, |l| l.delay_ms)
+        };
+        Duration::try_from_secs_f64(ms / 1000.0).unwrap_or_default()
+    }
+
     /// Returns all failure domains.
     pub fn domains(&self) -> &[FailureDomain] {
         &self.configuration.inventory.domains
--- a/components/entry/src/look_up.rs
+++ b/components/entry/src/look_up.rs
@@ -10,6 +10,7 @@
 use http::{Request, Response, server};
 use membership::VmState;
 use routing::entry_vm::{self, EntryVmView, State};
+use routing::shift::home_shares;
 use serde::Serialize;
 
 use crate::in_force::InForce;
@@ -63,7 +64,7 @@
         return codes::refusal(Code::UnknownService, &service);
     };
     metrics::counter!("look_ups_total").increment(1);
-    let (domain, region) = preferred(node, &cfg, query.client);
+    let (domain, region) = preferred(node, &cfg, &service, query.client);
     let views = views(node, &cfg, &service);
     let mut rng = fastrand::Rng::new();
     let settings = entry_vm::Settings {
@@ -104,9 +105,28 @@
 }
 
 /// Returns the failure domain that a client prefers; without a matching block, this one.
-fn preferred(node: &Node, cfg: &InForce, client: Option<IpAddr>) -> (DomainId, RegionId) {
+///
+/// Callers of a domain that has handed over its work go where that work went, so that moving
+/// them does not move the work once more.
+fn preferred(
+    node: &Node,
+    cfg: &InForce,
+    service: &str,
+    client: Option<IpAddr>,
+) -> (DomainId, RegionId) {
     let mapped = client.and_then(|ip| cfg.domain_of_client(ip));
-    let domain = mapped.unwrap_or(&node.settings.domain).clone();
+    let mut domain = mapped.unwrap_or(&node.settings.domain).clone();
+    let now_ms = node.platform_ms();
+    if cfg.has_left(&domain, now_ms) {
+        let current = cfg.shares(service, now_ms);
+        let shares = home_shares(cfg.nominal_shares(service), &current, &domain);
+        let mut point = fastrand::f64();
+        let drawn = shares.into_iter().find(|(_, share)| {
+            point -= share;
+            point < 0.0
+        });
+        domain = drawn.map_or(domain, |(taker, _)| taker);
+    }
     let region = cfg.region(&domain).cloned().unwrap_or_default();
     (domain, region)
 }
@@ -114,6 +134,7 @@
 /// Returns what is known of each entry VM.
 fn views(node: &Node, cfg: &InForce, service: &str) -> Vec<EntryVmView> {
     let now = node.now();
+    let platform_ms = node.platform_ms();
     let membership = node.lock_membership();
     let candidates = membership.look_up_candidates(now);
     let free = node
@@ -128,7 +149,8 @@
         .iter()
         .map(|vm| {
             let own = vm.id == node.identity.vm;
-            let state = if cfg.is_entry_vm_drained(&vm.id) || cfg.is_domain_drained(&vm.domain) {
+            let state = if cfg.is_entry_vm_drained(&vm.id) || cfg.has_left(&vm.domain, platform_ms)
+            {
                 State::Leaving
             } else if own {
                 if node.is_stopping() {
--- a/components/entry/src/node.rs
+++ b/components/entry/src/node.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use binding::{Context, Identity, KeyRing};
-use config::{Configuration, EntryVmId, Generation, Settings};
+use config::{Configuration, EntryVmId, Generation, ServiceId, Settings};
 use error_stack::ResultExt;
 use http::client::ClientOptions;
 use http::peer::Signature;
@@ -23,6 +23,7 @@
 use crate::in_force::InForce;
 use crate::reach::{self, Reachable};
 use crate::split::own_parts;
+use crate::steer::Steers;
 use crate::work::WorkState;
 
 /// State shared by all tasks of the process.
@@ -41,6 +42,10 @@
     pub work: Mutex<WorkState>,
     /// Addresses that this process can reach.
     pub reachable: Reachable,
+    /// Choice of the failure domain.
+    pub steers: Steers,
+    /// Free slots per service that each peer has reported.
+    free: Mutex<BTreeMap<EntryVmId, BTreeMap<ServiceId, u32>>>,
     /// Claims of caller-supplied keys.
     pub claims: Claims,
     /// Client of the platform.
@@ -73,6 +78,8 @@
                 ..ClientSettings::default()
             }),
             reachable,
+            steers: Steers::default(),
+            free: Mutex::new(BTreeMap::new()),
             claims: Claims::new(identity.clone()),
             membership: Mutex::new(membership),
             settled: Mutex::new(BTreeMap::new()),
@@ -93,6 +100,12 @@
         self.clock.uptime()
     }
 
+    /// Returns the platform's time in milliseconds since the Unix epoch; before its first answer,
+    /// the own wall clock.
+    pub fn platform_ms(&self) -> u64 {
+        self.platform.time_ms().unwrap_or_else(Clock::wall_ms)
+    }
+
     /// Returns the configuration in force.
     pub fn in_force(&self) -> Option<Arc<InForce>> {
         self.in_force
@@ -176,6 +189,27 @@
         settled.insert(vm.clone(), generation);
     }
 
+    /// Records the free slots that a peer has reported.
+    pub fn set_peer_free(&self, vm: &EntryVmId, free: BTreeMap<ServiceId, u32>) {
+        let mut known = self.free.lock().unwrap_or_else(PoisonError::into_inner);
+        known.insert(vm.clone(), free);
+    }
+
+    /// Returns the free slots per service of the whole domain: the own ones and those of peers
+    /// that are heard.
+    pub fn domain_free_slots(&self) -> BTreeMap<ServiceId, u32> {
+        let mut sum = self.admission.free_slots();
+        let now = self.now();
+        let heard = self.lock_membership().look_up_candidates(now);
+        let known = self.free.lock().unwrap_or_else(PoisonError::into_inner);
+        for (_, free) in known.iter().filter(|(vm, _)| heard.contains(vm)) {
+            for (service, n) in free {
+                *sum.entry(service.clone()).or_default() += n;
+            }
+        }
+        sum
+    }
+
     /// Returns a nonce that no other ticket has.
     pub fn next_nonce(&self) -> [u8; 16] {
         let number = self.tickets.fetch_add(1, Ordering::Relaxed);
--- a/components/entry/src/steer.rs
+++ b/components/entry/src/steer.rs
@@ -1,78 +1,336 @@
-//! Choice between the own failure domain and others.
+//! Choice of the failure domain that serves a request.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
+use config::{DomainId, RegionId, ServiceId, ShiftReason};
 use http::Response;
 use http::codes::{self, Code};
+use routing::domain::{DomainView, Load, Settings, State, Steering};
+use routing::failover::Placement;
+use routing::shift::home_shares;
+use smallvec::SmallVec;
 
+use crate::in_force::InForce;
 use crate::node::Node;
 use crate::peer;
 use crate::relay;
 use crate::request::{Meta, Outgoing};
 
-/// Other failure domains tried for one request.
-const MAX_DOMAINS: usize = 2;
+/// Domains tried for one request.
+const MAX_DOMAINS: usize = 3;
+/// Age of a digest from which its domain counts as dead; as long as for an entry VM.
+const DEAD_AFTER: Duration = Duration::from_secs(5);
+/// Weight of a new sample in the average of bytes per second.
+const BYTES_WEIGHT: f64 = 0.2;
 
-/// Serves a request here, or passes it to another failure domain when this one refuses it.
-pub async fn serve(node: &Arc<Node>, meta: &Meta, outgoing: &Outgoing) -> Response {
-    let mut code = match relay::serve(node, meta, outgoing).await {
-        Ok(res) => return res,
-        Err(code) => code,
+/// Where a request may be served.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// By the servers of this domain.
+    Own,
+    /// By another domain, through this entry VM of it.
+    Other(DomainId, SocketAddr),
+}
+
+/// Targets of one request, best first.
+pub type Route = SmallVec<[Target; MAX_DOMAINS]>;
+
+/// Steering of all services.
+#[derive(Default)]
+pub struct Steers {
+    /// Per service.
+    services: Mutex<BTreeMap<ServiceId, ServiceSteer>>,
+}
+
+/// Steering of one service.
+struct ServiceSteer {
+    /// Base shares, limited by the caps.
+    placement: Placement,
+    /// Spilling away from overload.
+    steering: Steering,
+    /// Requests of callers in progress here.
+    in_flight: u32,
+    /// Bytes of requests and answers since the last update.
+    bytes: u64,
+    /// Average bytes per second.
+    byte_rate: f64,
+    /// Time of the last update.
+    updated: Duration,
+}
+
+impl ServiceSteer {
+    fn new(home: &DomainId, now: Duration) -> Self {
+        let shares = routing::Shares::from([(home.clone(), 1.0)]);
+        ServiceSteer {
+            placement: Placement::new(shares, now),
+            steering: Steering::new(Settings::default()),
+            in_flight: 0,
+            bytes: 0,
+            byte_rate: 0.0,
+            updated: now,
+        }
+    }
+
+    /// Returns the load of the whole domain, taking the own one as typical.
+    fn load(&mut self, vms: f64, now: Duration) -> Load {
+        let elapsed = now.saturating_sub(self.updated).as_secs_f64();
+        if elapsed > 0.0 {
+            let rate = self.bytes as f64 / elapsed;
+            self.byte_rate += (rate - self.byte_rate) * BYTES_WEIGHT;
+            self.bytes = 0;
+            self.updated = now;
+        }
+        Load {
+            slots: f64::from(self.in_flight) * vms,
+            bytes: self.byte_rate * vms,
+        }
+    }
+}
+
+/// A request of a caller in progress.
+pub struct InFlight<'a> {
+    /// Where it is counted.
+    steers: &'a Steers,
+    /// Service.
+    service: ServiceId,
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        if let Some(state) = self.steers.lock().get_mut(&self.service) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+        }
+    }
+}
+
+impl Steers {
+    /// Counts a request until the result is dropped.
+    pub fn begin(&self, service: &ServiceId, bytes: usize) -> InFlight<'_> {
+        if let Some(state) = self.lock().get_mut(service) {
+            state.in_flight += 1;
+            state.bytes += bytes as u64;
+        }
+        InFlight {
+            steers: self,
+            service: service.clone(),
+        }
+    }
+
+    /// Counts bytes of an answer.
+    pub fn add_bytes(&self, service: &ServiceId, bytes: usize) {
+        if let Some(state) = self.lock().get_mut(service) {
+            state.bytes += bytes as u64;
+        }
+    }
+
+    /// Takes the newest measurements; call it at least once a second.
+    pub fn update(&self, node: &Node) {
+        let Some(cfg) = node.in_force() else { return };
+        let now = node.now();
+        let home = &node.settings.domain;
+        let region = cfg.region(home).cloned().unwrap_or_default();
+        let platform_ms = node.platform_ms();
+        let vms = node.lock_membership().look_up_candidates(now).len().max(1) as f64;
+        let mut services = self.lock();
+        services.retain(|id, _| cfg.class(id).is_some());
+        for service in &cfg.configuration.inventory.services {
+            let views = views(node, &cfg, &service.id, now);
+            let state = services
+                .entry(service.id.clone())
+                .or_insert_with(|| ServiceSteer::new(home, now));
+            let current = cfg.shares(&service.id, platform_ms);
+            let prescribed = home_shares(cfg.nominal_shares(&service.id), &current, home);
+            let shift = cfg.rules().shifts.get(&service.id);
+            let urgent = shift.is_some_and(|s| s.reason == ShiftReason::Failover);
+            let base = state
+                .placement
+                .advance(&prescribed, urgent, &views, cfg.rules(), now)
+                .clone();
+            let load = state.load(vms, now);
+            state.steering.update(&base, &region, &views, load, now);
+        }
+    }
+
+    /// Draws the domain for a request; `None` when no domain has room.
+    fn pick(&self, service: &ServiceId, point: f64) -> Option<DomainId> {
+        let services = self.lock();
+        services
+            .get(service)?
+            .steering
+            .split()
+            .pick(point, &[])
+            .cloned()
+    }
+
+    /// Returns the base shares in force for the work of this domain's callers.
+    pub fn shares(&self) -> BTreeMap<ServiceId, routing::Shares> {
+        let services = self.lock();
+        services
+            .iter()
+            .map(|(id, s)| (id.clone(), s.placement.shares().clone()))
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<ServiceId, ServiceSteer>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns what is known of each domain for a service.
+fn views(node: &Node, cfg: &InForce, service: &ServiceId, now: Duration) -> Vec<DomainView> {
+    let home = &node.settings.domain;
+    let home_region = cfg.region(home).cloned().unwrap_or_default();
+    let own_free = node.domain_free_slots().get(service).copied().unwrap_or(0);
+    let membership = node.lock_membership();
+    let view = |domain: &config::FailureDomain| {
+        let (state, free, measured) = if domain.id == *home {
+            (State::Serving, own_free, now)
+        } else {
+            match membership.digests.get(&domain.id, now) {
+                Some((age, digest)) if age < DEAD_AFTER => {
+                    let free = digest.free_slots.get(service).copied().unwrap_or(0);
+                    (State::Serving, free, now.saturating_sub(age))
+                }
+                _ => (State::Dead, 0, Duration::ZERO),
+            }
+        };
+        // A drained domain keeps its shrinking share until the shift away from it is over.
+        let drained = cfg.is_domain_drained(&domain.id) && domain.id != *home;
+        DomainView {
+            id: domain.id.clone(),
+            region: domain.region.clone(),
+            state: if drained { State::Drained } else { state },
+            slots: f64::from(cfg.domain_slots(service, &domain.id)),
+            free: f64::from(free),
+            measured,
+            delay: cfg.delay(&home_region, &domain.region),
+            link_bytes: link_bytes(cfg, &home_region, &domain.region),
+        }
     };
-    if !may_be_served_elsewhere(code) {
-        return relay::refuse(code);
+    cfg.domains().iter().map(view).collect()
+}
+
+/// Returns the part of the tighter link between two regions that one domain of the first may use.
+fn link_bytes(cfg: &InForce, from: &RegionId, to: &RegionId) -> f64 {
+    let domains = cfg
+        .domains()
+        .iter()
+        .filter(|d| d.region == *from)
+        .count()
+        .max(1);
+    let limit = |a: &RegionId, b: &RegionId| cfg.link(a, b).map_or(0, |l| l.bytes_per_second);
+    limit(from, to).min(limit(to, from)) as f64 / domains as f64
+}
+
+/// Returns the targets of a request: the drawn domain, then others with free slots.
+pub fn route(node: &Node, meta: &Meta) -> Route {
+    let mut route = Route::new();
+    let home = &node.settings.domain;
+    let drawn = node.steers.pick(&meta.service, fastrand::f64());
+    let others = other_domains(node, meta);
+    if let Some(domain) = &drawn {
+        if domain == home {
+            route.push(Target::Own);
+        } else if let Some(address) = entry_vm_of(node, domain) {
+            route.push(Target::Other(domain.clone(), address));
+        }
+    }
+    let is_own_drained = node.in_force().is_some_and(|c| c.is_domain_drained(home));
+    if !is_own_drained && !route.contains(&Target::Own) {
+        route.push(Target::Own);
     }
-    for address in other_domains(node, meta) {
-        metrics::counter!("spills_total", "service" => meta.service.to_string()).increment(1);
-        match peer::relay_to(node, address, meta, outgoing).await {
-            Ok(res) => return res,
-            Err(other) => code = other,
+    for (domain, address) in others {
+        let known = route
+            .iter()
+            .any(|t| matches!(t, Target::Other(d, _) if *d == domain));
+        if route.len() < MAX_DOMAINS && !known {
+            route.push(Target::Other(domain, address));
         }
     }
-    codes::refusal(code, "no failure domain takes the request")
+    route
 }
 
-/// Tells whether another failure domain may take what this one refused.
-pub fn may_be_served_elsewhere(code: Code) -> bool {
-    matches!(
-        code,
-        Code::NoServer | Code::QueueFull | Code::ServersShed | Code::DomainDrained
-    )
+fn entry_vm_of(node: &Node, domain: &str) -> Option<SocketAddr> {
+    let cfg = node.in_force()?;
+    let vms: Vec<SocketAddr> = cfg.entry_vms_of(domain).map(|v| v.peer_address).collect();
+    fastrand::Rng::new().choice(&vms).copied()
 }
 
-/// Returns an entry VM of each other domain with free slots, nearest first.
-pub fn other_domains(node: &Node, meta: &Meta) -> Vec<SocketAddr> {
+/// Returns other domains with free slots, nearest first.
+fn other_domains(node: &Node, meta: &Meta) -> Vec<(DomainId, SocketAddr)> {
     let Some(cfg) = node.in_force() else {
         return Vec::new();
     };
     let now = node.now();
-    let own_region = cfg.region(&node.settings.domain).cloned();
-    let mut ranked: Vec<(bool, u32, SocketAddr)> = Vec::new();
+    let home_region = cfg.region(&node.settings.domain).cloned();
+    let mut ranked: Vec<(bool, u32, &DomainId)> = Vec::new();
     let membership = node.lock_membership();
     for domain in cfg
         .domains()
         .iter()
         .filter(|d| d.id != node.settings.domain)
     {
-        if cfg.is_domain_drained(&domain.id) {
-            continue;
-        }
-        let free = membership
-            .digests
-            .get(&domain.id, now)
+        let digest = membership.digests.get(&domain.id, now);
+        let free = digest
+            .filter(|(age, _)| *age < DEAD_AFTER)
             .and_then(|(_, digest)| digest.free_slots.get(&meta.service).copied())
             .unwrap_or(0);
-        let vms: Vec<_> = cfg.entry_vms_of(&domain.id).collect();
-        if let (Some(vm), true) = (fastrand::Rng::new().choice(&vms), free > 0) {
-            let far = Some(&domain.region) != own_region.as_ref();
-            ranked.push((far, u32::MAX - free, vm.peer_address));
+        if free > 0 && !cfg.is_domain_drained(&domain.id) {
+            let is_far = Some(&domain.region) != home_region.as_ref();
+            ranked.push((is_far, u32::MAX - free, &domain.id));
         }
     }
+    drop(membership);
     ranked.sort_unstable();
     ranked
         .into_iter()
-        .map(|(_, _, address)| address)
-        .take(MAX_DOMAINS)
+        .filter_map(|(_, _, domain)| Some((domain.clone(), entry_vm_of(node, domain)?)))
         .collect()
 }
+
+/// Serves a request that may run more than once, in one domain after the other.
+pub async fn serve(node: &Arc<Node>, meta: &Meta, outgoing: &Outgoing) -> Response {
+    let _in_flight = node.steers.begin(&meta.service, outgoing.body().len());
+    let mut code = Code::NoServer;
+    for (i, target) in route(node, meta).into_iter().enumerate() {
+        if i > 0 {
+            count_spill(meta);
+        }
+        let result = match target {
+            Target::Own => relay::serve(node, meta, outgoing).await,
+            Target::Other(_, address) => peer::relay_to(node, address, meta, outgoing).await,
+        };
+        match result {
+            Ok(res) => {
+                node.steers.add_bytes(&meta.service, res.len().unwrap_or(0));
+                return res;
+            }
+            Err(refused) => code = refused,
+        }
+        if !may_be_served_elsewhere(code) {
+            break;
+        }
+    }
+    codes::refusal(code, "no failure domain takes the request")
+}
+
+/// Counts a request that its first domain refused.
+pub fn count_spill(meta: &Meta) {
+    metrics::counter!("spills_total", "service" => meta.service.to_string()).increment(1);
+}
+
+/// Tells whether another failure domain may take what this one refused.
+pub fn may_be_served_elsewhere(code: Code) -> bool {
+    matches!(
+        code,
+        Code::NoServer
+            | Code::QueueFull
+            | Code::ServersShed
+            | Code::DomainDrained
+            | Code::ShareExhausted
+            | Code::Stopping
+    )
+}
--- a/components/entry/src/work.rs
+++ b/components/entry/src/work.rs
@@ -17,8 +17,8 @@
 
 use crate::node::Node;
 use crate::request::{Meta, Outgoing, WorkIdentity};
-use crate::{claims, peer, steer};
-use send::{SendEvent, send_elsewhere, send_once};
+use crate::{claims, peer};
+use send::{SendEvent, send};
 use stored::Stored;
 
 pub use send::serve_relayed;
@@ -200,7 +200,10 @@
 ) {
     let id = permit.id();
     let result = match claim(&node, &permit, &meta).await {
-        Ok(()) => send(&node, &permit, &meta, &outgoing).await,
+        Ok(()) => {
+            let check = |node: &Node, event| check_send(node, &permit, event);
+            Box::pin(send(&node, &check, &meta, &outgoing)).await
+        }
         Err(Unclaimed::Code(code)) => Err(code),
         Err(Unclaimed::HeldBy(vm)) => {
             // Nothing ran here; the answer is the holder's.
@@ -240,21 +243,6 @@
     drop(done);
 }
 
-async fn send(
-    node: &Arc<Node>,
-    permit: &Permit,
-    meta: &Meta,
-    outgoing: &Outgoing,
-) -> Result<Stored, Code> {
-    let check = |node: &Node, event| check_send(node, permit, event);
-    match Box::pin(send_once(node, &check, meta, outgoing)).await {
-        Err(code) if steer::may_be_served_elsewhere(code) => {
-            Box::pin(send_elsewhere(node, &check, meta, outgoing, code)).await
-        }
-        result => result,
-    }
-}
-
 /// Why work under a caller's key must not be sent by this process.
 enum Unclaimed {
     /// Refusal or unknown outcome.
--- a/components/entry/src/work/send.rs
+++ b/components/entry/src/work/send.rs
@@ -1,5 +1,6 @@
 //! Sends of binding work: to servers of this failure domain, or to another one.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use http::Response;
@@ -11,8 +12,9 @@
 use crate::admission::{Avoid, Slot};
 use crate::exchange::{self, AnswerLimits, Attempt, NotRun};
 use crate::node::Node;
+use crate::peer;
 use crate::request::{Meta, Outgoing};
-use crate::{peer, steer};
+use crate::steer::{self, Target};
 
 /// Longest answer to binding work in bytes.
 const MAX_ANSWER: u64 = 4 << 20;
@@ -42,25 +44,51 @@
     }
 }
 
-/// Sends the request to another failure domain.
-pub async fn send_elsewhere(
+/// Sends the request to one failure domain after the other until one may have run it.
+pub async fn send(
     node: &Arc<Node>,
     check: &(impl Fn(&Node, SendEvent) -> Result<(), Code> + Sync),
     meta: &Meta,
     outgoing: &Outgoing,
-    mut code: Code,
 ) -> Result<Stored, Code> {
-    for address in steer::other_domains(node, meta) {
-        check(node, SendEvent::About)?;
-        match peer::relay_to(node, address, meta, outgoing).await {
-            Ok(res) => return from_elsewhere(node, meta, res).await,
-            Err(other) => code = other,
+    let _in_flight = node.steers.begin(&meta.service, outgoing.body().len());
+    let mut code = Code::NoServer;
+    for (i, target) in steer::route(node, meta).into_iter().enumerate() {
+        if i > 0 {
+            steer::count_spill(meta);
+        }
+        let result = match target {
+            Target::Own => Box::pin(send_once(node, check, meta, outgoing)).await,
+            Target::Other(_, address) => {
+                Box::pin(send_elsewhere(node, check, meta, outgoing, address)).await
+            }
+        };
+        match result {
+            Err(refused) if steer::may_be_served_elsewhere(refused) => code = refused,
+            result => return result,
         }
-        check(node, SendEvent::NotExecuted)?;
     }
     Err(code)
 }
 
+/// Sends the request to another failure domain.
+async fn send_elsewhere(
+    node: &Arc<Node>,
+    check: &(impl Fn(&Node, SendEvent) -> Result<(), Code> + Sync),
+    meta: &Meta,
+    outgoing: &Outgoing,
+    address: SocketAddr,
+) -> Result<Stored, Code> {
+    check(node, SendEvent::About)?;
+    match peer::relay_to(node, address, meta, outgoing).await {
+        Ok(res) => from_elsewhere(node, meta, res).await,
+        Err(code) => {
+            check(node, SendEvent::NotExecuted)?;
+            Err(code)
+        }
+    }
+}
+
 /// Reads the answer of another failure domain; its own refusals here mean an unknown outcome.
 async fn from_elsewhere(node: &Node, meta: &Meta, res: Response) -> Result<Stored, Code> {
     let is_refusal = res.header(codes::CODE_HEADER).is_some();
@@ -75,7 +103,7 @@
 }
 
 /// Sends the request to servers until one may have seen it.
-pub async fn send_once(
+async fn send_once(
     node: &Arc<Node>,
     check: &(impl Fn(&Node, SendEvent) -> Result<(), Code> + Sync),
     meta: &Meta,
--- a/components/routing/src/shift.rs
+++ b/components/routing/src/shift.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use config::Shift;
+use config::{DomainId, Shift};
 
 use crate::Shares;
 
@@ -85,3 +85,32 @@
         &self.shares
     }
 }
+
+/// Shares for the work of one domain's callers while the shares of all work move.
+///
+/// Callers prefer their own domain, so their work follows `nominal`. What their domain loses
+/// against it goes to the domains that gain, in proportion to the gains. Summed over all domains
+/// the result is `current`.
+pub fn home_shares(nominal: &Shares, current: &Shares, home: &DomainId) -> Shares {
+    let share = |shares: &Shares, domain| shares.get(domain).copied().unwrap_or(0.0);
+    let gain = |domain| (share(current, domain) - share(nominal, domain)).max(0.0);
+    let own = share(nominal, home);
+    let gained: f64 = current.keys().map(gain).sum();
+    let kept = if own > 0.0 {
+        (share(current, home) / own).min(1.0)
+    } else {
+        1.0
+    };
+    if kept >= 1.0 || gained <= 0.0 {
+        return Shares::from([(home.clone(), 1.0)]);
+    }
+    let mut shares: Shares = current
+        .keys()
+        .map(|domain| (domain.clone(), (1.0 - kept) * gain(domain) / gained))
+        .filter(|(_, share)| *share > 0.0)
+        .collect();
+    if kept > 0.0 {
+        shares.insert(home.clone(), kept);
+    }
+    shares
+}
