--- a/components/load/tests/wire.rs
+++ b/components/load/tests/wire.rs
@@ -1,4 +1,4 @@
-//! Wire form of block differences through MessagePack.
+//! Wire form of block differences between entry VMs.
 
 use routing::blocks::{BlockMap, Difference, Prefix};
 
