Estimate waits with the service time of each class

Cause: one average over classes underestimates the wait of archive searches among orders, which hold a connection for a twentieth of the time. Change: the queue keeps an average per class. The experiments also print the share of answers after the deadline.

--- a/components/limits/src/queue.rs
+++ b/components/limits/src/queue.rs
@@ -230,7 +230,8 @@
 pub struct Queue<T> {
     settings: Settings,
     lanes: [Lane<T>; CLASSES],
-    mean_service_secs: Option<f64>,
+    /// Average time that a request of each class holds its slot, in seconds.
+    mean_secs: [Option<f64>; CLASSES],
 }
 
 impl<T> Queue<T> {
@@ -239,7 +240,7 @@
         Queue {
             settings,
             lanes: [Lane::new(), Lane::new(), Lane::new()],
-            mean_service_secs: None,
+            mean_secs: [None; CLASSES],
         }
     }
 
@@ -253,10 +254,10 @@
         self.len() == 0
     }
 
-    /// Records how long a request held its slot; the average predicts waits.
-    pub fn record_service_time(&mut self, time: Duration) {
+    /// Records how long a request held its slot; the averages predict waits.
+    pub fn record_service_time(&mut self, class: Class, time: Duration) {
         let secs = time.as_secs_f64();
-        let mean = self.mean_service_secs.get_or_insert(secs);
+        let mean = self.mean_secs[class as usize].get_or_insert(secs);
         *mean += (secs - *mean) * SERVICE_TIME_WEIGHT;
     }
 
@@ -266,30 +267,29 @@
             Class::Deferrable => deferrable_limit(slots.total, self.settings.deferrable_slot_share),
             Class::Binding | Class::Idempotent => slots.total,
         };
-        let ahead = self.ahead(class, house);
+        let ahead = self.secs_ahead(class, house);
         let free =
             slots.in_use < slots.total && (class != Class::Deferrable || slots.deferrable < usable);
-        if ahead == 0 && free {
+        if ahead == 0.0 && free {
             return Duration::ZERO;
         }
-        let mean = self.mean_service_secs.unwrap_or(0.0);
-        Duration::from_secs_f64(mean * (ahead + 1) as f64 / f64::from(usable.max(1)))
+        let mean = self.mean_secs[class as usize].unwrap_or(0.0);
+        Duration::from_secs_f64((ahead + mean) / f64::from(usable.max(1)))
     }
 
-    /// Entries that start before a new one: higher classes, and the earlier rounds of its own.
-    fn ahead(&self, class: Class, house: &HouseId) -> usize {
+    /// Slot time of the entries that start before a new one: those of higher classes, and the
+    /// earlier rounds of its own.
+    fn secs_ahead(&self, class: Class, house: &HouseId) -> f64 {
         let rank = class as usize;
-        let higher: usize = self.lanes[..rank].iter().map(|l| l.len).sum();
+        let secs = |rank: usize, n: usize| n as f64 * self.mean_secs[rank].unwrap_or(0.0);
+        let higher: f64 = (0..rank).map(|r| secs(r, self.lanes[r].len)).sum();
         let lane = &self.lanes[rank];
         let own = lane.house_len(house);
         let rounds = lane.houses.iter().map(|(id, h)| {
-            if id == house {
-                own
-            } else {
-                h.entries.len().min(own + 1)
-            }
+            let earlier = if id == house { own } else { own + 1 };
+            h.entries.len().min(earlier)
         });
-        higher + rounds.sum::<usize>()
+        higher + secs(rank, rounds.sum())
     }
 
     /// Queues an entry, or refuses it as not run.
@@ -309,7 +309,8 @@
         let wait = self.expected_wait(entry.class, &entry.house, slots);
         // Without a wait the request is tried even if it looks too late, so that a wrong
         // average is corrected by new samples.
-        let service = Duration::from_secs_f64(self.mean_service_secs.unwrap_or(0.0));
+        let mean = self.mean_secs[entry.class as usize].unwrap_or(0.0);
+        let service = Duration::from_secs_f64(mean);
         if !wait.is_zero() && wait + service > remaining {
             return Err((Refusal::DeadlineTooNear, entry));
         }
--- a/components/limits/tests/queue.rs
+++ b/components/limits/tests/queue.rs
@@ -170,7 +170,7 @@
         ..entry(Class::Idempotent, "h", item)
     };
     for _ in 0..200 {
-        q.record_service_time(Duration::from_secs(1));
+        q.record_service_time(Class::Idempotent, Duration::from_secs(1));
     }
     // Each start takes 1 s / 8 slots: 24 entries fit into 3 s, less the service time itself.
     let accepted = (0..100).filter(|i| q.push(Duration::ZERO, at(4, *i), full).is_ok());
--- a/components/load/src/experiment/report.rs
+++ b/components/load/src/experiment/report.rs
@@ -74,9 +74,10 @@
     pub fn group(&mut self, run: &str, group: &Group) {
         let ms = |q| group.quantile_ms(q);
         self.lines.push(format!(
-            "run={run} requests={} refused={:.4} p50_ms={:.2} p95_ms={:.2} p99_ms={:.2} p999_ms={:.2}",
+            "run={run} requests={} refused={:.4} late={:.4} p50_ms={:.2} p95_ms={:.2} p99_ms={:.2} p999_ms={:.2}",
             group.requests,
             group.refused_share(),
+            group.late as f64 / group.requests.max(1) as f64,
             ms(0.5),
             ms(0.95),
             ms(0.99),
--- a/components/load/src/model/run/attempts.rs
+++ b/components/load/src/model/run/attempts.rs
@@ -224,7 +224,7 @@
         desk.selector
             .finished(self.now, &permit.server, latency, outcome);
         desk.hedge.record(self.now, latency);
-        desk.queue.record_service_time(latency);
+        desk.queue.record_service_time(class, latency);
         desk.breakers[server].finished(self.now, latency);
         desk.deferrable -= u32::from(class == Class::Deferrable);
     }
--- a/components/load/src/model/run/responses.rs
+++ b/components/load/src/model/run/responses.rs
@@ -65,7 +65,9 @@
         if r.arrived >= self.scenario.warm_up {
             let key = (r.service, r.house.clone());
             let group = self.stats.groups.entry(key).or_default();
-            group.answered(self.now.saturating_sub(r.arrived));
+            let latency = self.now.saturating_sub(r.arrived);
+            group.late += u64::from(latency > self.scenario.deadline);
+            group.answered(latency);
         }
         self.open -= 1;
         self.release_connection(request);
@@ -86,13 +88,14 @@
         if self.scenario.connections == u32::MAX {
             return;
         }
-        let deferrable = u32::from(self.class(request) == Class::Deferrable);
+        let class = self.class(request);
+        let deferrable = u32::from(class == Class::Deferrable);
         let r = &self.requests[request as usize];
         let (vm, held) = (r.vm, self.now.saturating_sub(r.connected));
         let connections = &mut self.vms[vm].connections;
         connections.in_use -= 1;
         connections.deferrable -= deferrable;
-        self.vms[vm].queue.record_service_time(held);
+        self.vms[vm].queue.record_service_time(class, held);
         self.pump_connections(vm);
     }
 }
--- a/components/load/src/model/stats.rs
+++ b/components/load/src/model/stats.rs
@@ -17,6 +17,8 @@
     pub latency: Histogram<u64>,
     /// Requests.
     pub requests: u64,
+    /// Responses after the deadline.
+    pub late: u64,
     /// Refusals by reason.
     pub refused: BTreeMap<Refusal, u64>,
 }
@@ -26,6 +28,7 @@
         Group {
             latency: Histogram::new_with_max(MAX_MICROS, 3).expect("bounds are constants"),
             requests: 0,
+            late: 0,
             refused: BTreeMap::new(),
         }
     }
@@ -50,6 +53,7 @@
             .add(&other.latency)
             .expect("histograms have equal bounds");
         self.requests += other.requests;
+        self.late += other.late;
         for (why, n) in &other.refused {
             *self.refused.entry(*why).or_default() += n;
         }
