Add the experiments headroom and region-loss

Cause: limits must hold across domains, with stale digests and while a region is lost. Change: the event loop knows regions, relays between domains, digests, shared links and the loss of a region.

--- a/components/load/src/experiment.rs
+++ b/components/load/src/experiment.rs
@@ -3,6 +3,8 @@
 
 mod fairness;
 mod head_of_line;
+mod headroom;
+mod region_loss;
 mod report;
 mod slow_servers;
 
@@ -14,10 +16,12 @@
 pub type Experiment = fn(u64) -> Report;
 
 /// All experiments by name.
-pub const ALL: [(&str, Experiment); 3] = [
+pub const ALL: [(&str, Experiment); 5] = [
     ("slow-servers", slow_servers::run),
     ("head-of-line", head_of_line::run),
     ("fairness", fairness::run),
+    ("headroom", headroom::run),
+    ("region-loss", region_loss::run),
 ];
 
 /// Names of `n` houses with equal traffic that adds up to `rate` requests per second.
--- a/components/load/src/experiment/head_of_line.rs
+++ b/components/load/src/experiment/head_of_line.rs
@@ -65,6 +65,7 @@
 fn scenario(seed: u64, policy: Policy, archive: bool) -> Scenario {
     let mut orders = Service {
         class: Class::Binding,
+        vms: vec![0, 1],
         servers: 12,
         slots: 3,
         mean: Duration::from_millis(20),
--- a/components/load/src/experiment/slow_servers.rs
+++ b/components/load/src/experiment/slow_servers.rs
@@ -57,6 +57,7 @@
 fn scenario(seed: u64, policy: Policy, slow: bool) -> Scenario {
     let mut service = Service {
         class: Class::Idempotent,
+        vms: vec![0, 1],
         servers: 12,
         slots: 3,
         mean: Duration::from_millis(50),
--- a/components/load/src/model.rs
+++ b/components/load/src/model.rs
@@ -6,5 +6,6 @@
 pub mod run;
 pub mod scenario;
 pub mod server;
+pub mod spill;
 pub mod stats;
 pub mod vm;
--- a/components/load/src/model/link.rs
+++ b/components/load/src/model/link.rs
@@ -1,4 +1,4 @@
-//! The link from one entry VM to clients.
+//! A link of one entry VM, to clients or to a region.
 
 use std::time::Duration;
 
@@ -12,6 +12,10 @@
     pub request: u32,
     /// Class of the request.
     pub class: Class,
+    /// Entry VM that sends it.
+    pub from: usize,
+    /// Link of that VM: 0 to clients, else to a region.
+    pub to: usize,
     /// Bytes sent.
     pub sent: u64,
     /// Length of the response.
@@ -28,15 +32,15 @@
 /// What the link does next.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Next {
-    /// A chunk is on the wire until this time; its response has this left.
-    Sent(Duration, Remainder),
+    /// A chunk of so many bytes is on the wire until this time; its response has this left.
+    Sent(Duration, Remainder, u64),
     /// Ask again at this time.
     At(Duration),
     /// Nothing to send.
     Idle,
 }
 
-/// The link from one entry VM to clients.
+/// A link of one entry VM.
 #[derive(Debug)]
 pub struct Link {
     rate: u64,
@@ -80,7 +84,7 @@
             Step::Send(mut response) => {
                 let chunk = response.chunk();
                 response.sent += chunk;
-                Next::Sent(self.send(now, chunk), response)
+                Next::Sent(self.send(now, chunk), response, chunk)
             }
             Step::Wait(wait) => Next::At(now + wait),
             Step::Idle => Next::Idle,
--- a/components/load/src/model/run.rs
+++ b/components/load/src/model/run.rs
@@ -1,8 +1,10 @@
 //! The event loop.
 
 mod attempts;
+mod relay;
 mod responses;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use config::{Class, HouseId};
@@ -17,6 +19,7 @@
     Policy, REPORT_DELAY, REPORT_INTERVAL, STRAGGLER_FACTOR, STRAGGLER_SHARE, Scenario,
 };
 use super::server::Server;
+use super::spill::Digest;
 use super::stats::Stats;
 use super::vm::{Job, Vm};
 
@@ -40,8 +43,22 @@
     Late(u32),
     /// A chunk of a response has left the entry VM.
     Sent(Remainder),
-    /// The link of an entry VM may send again.
-    Link(usize),
+    /// A link of an entry VM may send again.
+    Link(usize, usize),
+    /// A relayed request reaches an entry VM of another domain.
+    Relay(u32, usize),
+    /// The response to a relayed request reaches the entry VM that relayed it.
+    Relayed(u32),
+    /// A relayed request comes back, not run.
+    NotRun(u32, Refusal),
+    /// The domains measure their load.
+    Digest,
+    /// The load of a domain reaches the entry VMs of a region.
+    Digested(usize, usize, Digest),
+    /// A caller tries another entry VM.
+    Reconnect(u32),
+    /// A region dies.
+    Loss,
     /// Timers of all entry VMs.
     Tick,
     /// Servers measure their load.
@@ -58,10 +75,25 @@
     rng: fastrand::Rng,
 }
 
+#[derive(Clone)]
 struct Request {
+    /// Domain that its caller prefers.
+    home: usize,
+    /// Domain of the entry VM that the caller has reached.
     service: usize,
     house: HouseId,
+    /// Entry VM that the caller has reached.
     vm: usize,
+    /// Domain whose servers run it.
+    pool: usize,
+    /// Entry VM of that domain.
+    at: usize,
+    /// Domains that have not run it.
+    tried: SmallVec<[usize; 4]>,
+    /// Times that a server has started it.
+    starts: u32,
+    /// The caller has its answer, or has given up.
+    ended: bool,
     arrived: Duration,
     /// When it got a connection of its entry VM.
     connected: Duration,
@@ -107,6 +139,10 @@
     servers: Vec<Vec<Server>>,
     rng: fastrand::Rng,
     open: usize,
+    /// Region that has died.
+    lost: Option<usize>,
+    /// When each link between regions has sent everything, by origin and destination.
+    link_ends: BTreeMap<(usize, usize), Duration>,
     stats: Stats,
 }
 
@@ -139,6 +175,8 @@
             requests: Vec::new(),
             attempts: Vec::new(),
             open: 0,
+            lost: None,
+            link_ends: BTreeMap::new(),
             stats: Stats::default(),
         };
         for stream in 0..world.streams.len() {
@@ -146,6 +184,7 @@
         }
         world.events.push(TICK, Event::Tick);
         world.events.push(REPORT_INTERVAL, Event::Measure);
+        world.start_regions();
         world
     }
 
@@ -169,10 +208,19 @@
             Event::Cancel(attempt) => self.cancel_at_server(attempt),
             Event::Late(attempt) => self.late(attempt),
             Event::Sent(response) => self.sent(response),
-            Event::Link(vm) => {
-                self.vms[vm].link.asked_at = None;
-                self.pump_link(vm);
+            Event::Link(vm, to) => {
+                self.vms[vm].links[to].asked_at = None;
+                if !self.is_vm_lost(vm) {
+                    self.pump_link(vm, to);
+                }
             }
+            Event::Relay(request, vm) => self.relay_arrives(request, vm),
+            Event::Relayed(request) => self.relay_answered(request),
+            Event::NotRun(request, why) => self.relay_refused(request, why),
+            Event::Digest => self.measure_domains(),
+            Event::Digested(domain, region, digest) => self.digested(domain, region, digest),
+            Event::Reconnect(request) => self.reconnect(request),
+            Event::Loss => self.lose_region(),
             Event::Tick => self.tick(),
             Event::Measure => self.measure(),
             Event::Report(service, server, busy, measured) => {
@@ -202,11 +250,19 @@
     fn arrive(&mut self, stream: usize) {
         let s = &mut self.streams[stream];
         let work = draw(self.scenario.services[s.service].mean, &mut s.rng);
+        let vms = &self.scenario.services[s.service].vms;
+        let vm = vms[s.rng.usize(..vms.len())];
         let request = self.requests.len() as u32;
         self.requests.push(Request {
+            home: s.service,
             service: s.service,
             house: s.house.clone(),
-            vm: s.rng.usize(..self.scenario.vms),
+            vm,
+            pool: s.service,
+            at: vm,
+            tried: SmallVec::new(),
+            starts: 0,
+            ended: false,
             arrived: self.now,
             connected: self.now,
             work,
@@ -221,6 +277,10 @@
     /// Gives the request a connection of its entry VM, or queues it for one.
     fn connect(&mut self, request: u32) {
         let vm = self.requests[request as usize].vm;
+        if self.is_vm_lost(vm) {
+            self.reconnect_later(request);
+            return;
+        }
         if self.scenario.connections == u32::MAX {
             self.begin(request);
             return;
@@ -287,6 +347,19 @@
             self.start(request, server, work);
             return;
         }
+        if self.relays() && self.route(request) {
+            return;
+        }
+        self.enqueue_first(request);
+    }
+
+    /// Queues the first attempt at the entry VM that runs it.
+    fn enqueue_first(&mut self, request: u32) {
+        let Request {
+            at: vm,
+            pool: service,
+            ..
+        } = self.requests[request as usize];
         let job = Job {
             request,
             hedge: false,
@@ -296,7 +369,11 @@
     }
 
     fn enqueue(&mut self, job: Job) {
-        let Request { vm, service, .. } = self.requests[job.request as usize];
+        let Request {
+            at: vm,
+            pool: service,
+            ..
+        } = self.requests[job.request as usize];
         let entry = self.entry(job.request, job);
         let desk = &mut self.vms[vm].desks[service];
         let slots = desk.slots();
@@ -313,9 +390,11 @@
     /// A dropped hedge is no refusal: the first attempt runs.
     fn drop_job(&mut self, job: Job, why: Refusal) {
         if job.hedge {
-            let Request { vm, service, .. } = self.requests[job.request as usize];
-            let budget = &mut self.vms[vm].desks[service].budget;
+            let Request { at, pool, .. } = self.requests[job.request as usize];
+            let budget = &mut self.vms[at].desks[pool].budget;
             budget.give_back(Reason::Hedge);
+        } else if self.requests[job.request as usize].at != self.requests[job.request as usize].vm {
+            self.send_back(job.request, why);
         } else {
             self.release_connection(job.request);
             self.refuse(job.request, why);
@@ -331,6 +410,10 @@
             return;
         }
         for vm in 0..self.vms.len() {
+            if self.is_vm_lost(vm) {
+                continue;
+            }
+            self.check_relays(vm);
             for entry in self.vms[vm].queue.expire(self.now) {
                 self.refuse(entry.item, Refusal::Expired);
             }
--- a/components/load/src/model/run/attempts.rs
+++ b/components/load/src/model/run/attempts.rs
@@ -37,8 +37,8 @@
 
     pub(super) fn start_job(&mut self, job: Job, class: Class, server: &ServerId) {
         let Request {
-            vm,
-            service,
+            at: vm,
+            pool: service,
             work,
             done,
             ..
@@ -101,11 +101,15 @@
             state,
             ..
         } = self.attempts[attempt as usize];
-        if state == State::Ended {
+        if state == State::Ended || self.is_lost(self.requests[request as usize].pool) {
             return;
         }
         let class = self.class(request);
-        let Request { vm, service, .. } = self.requests[request as usize];
+        let Request {
+            at: vm,
+            pool: service,
+            ..
+        } = self.requests[request as usize];
         let hedged = self.requests[request as usize].attempts.len() > 1;
         let desk = &mut self.vms[vm].desks[service];
         let id = &desk.servers[server];
@@ -128,7 +132,10 @@
             state,
             ..
         } = self.attempts[attempt as usize];
-        let service = self.requests[request as usize].service;
+        let service = self.requests[request as usize].pool;
+        if self.is_lost(service) {
+            return;
+        }
         if state == State::Sent && self.servers[service][server].arrive(attempt) {
             self.serve(service, server, attempt);
         }
@@ -141,6 +148,11 @@
         });
         let a = &mut self.attempts[attempt as usize];
         a.state = State::InSlot;
+        let r = &mut self.requests[a.request as usize];
+        r.starts += 1;
+        if r.starts > 1 && self.scenario.services[service].class == Class::Binding {
+            self.stats.ran_twice += 1;
+        }
         let time = a.work.mul_f64(slow.map_or(1.0, |s| s.factor));
         self.events.push(self.now + time, Event::Served(attempt));
     }
@@ -152,10 +164,10 @@
             state,
             ..
         } = self.attempts[attempt as usize];
-        if state != State::InSlot {
+        let service = self.requests[request as usize].pool;
+        if state != State::InSlot || self.is_lost(service) {
             return;
         }
-        let service = self.requests[request as usize].service;
         self.attempts[attempt as usize].state = State::Sent;
         self.events
             .push(self.now + self.scenario.delay, Event::Reply(attempt));
@@ -176,19 +188,19 @@
         let Attempt {
             request, server, ..
         } = self.attempts[attempt as usize];
-        let service = self.requests[request as usize].service;
+        let service = self.requests[request as usize].pool;
         self.free_slot(service, server);
     }
 
     pub(super) fn reply(&mut self, attempt: u32) {
         let Attempt { request, state, .. } = self.attempts[attempt as usize];
-        if state == State::Ended {
+        if state == State::Ended || self.is_lost(self.requests[request as usize].pool) {
             return;
         }
         self.end_attempt(attempt, Outcome::Answered);
         let r = &mut self.requests[request as usize];
         r.done = true;
-        let (vm, service) = (r.vm, r.service);
+        let (vm, service) = (r.at, r.pool);
         for other in r.attempts.clone() {
             let state = self.attempts[other as usize].state;
             if state != State::Ended {
@@ -213,7 +225,11 @@
             ..
         } = self.attempts[attempt as usize];
         self.attempts[attempt as usize].state = State::Ended;
-        let Request { vm, service, .. } = self.requests[request as usize];
+        let Request {
+            at: vm,
+            pool: service,
+            ..
+        } = self.requests[request as usize];
         let class = self.class(request);
         let latency = self.now.saturating_sub(started);
         let Some(permit) = self.vms[vm].permits.remove(&attempt) else {
--- a/components/load/src/model/scenario.rs
+++ b/components/load/src/model/scenario.rs
@@ -13,9 +13,11 @@
 /// Time between load reports.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// One service and its traffic.
+/// One service in one failure domain, and the traffic that prefers this domain.
 #[derive(Clone, Debug)]
 pub struct Service {
+    /// Entry VMs of its domain, by index.
+    pub vms: Vec<usize>,
     /// Class of its operations.
     pub class: Class,
     /// Number of servers.
@@ -58,6 +60,21 @@
     pub until: Duration,
 }
 
+/// Several regions; each entry of [`Scenario::services`] is the same service in another domain.
+#[derive(Clone, Debug, Default)]
+pub struct Regions {
+    /// Region of each domain.
+    pub of: Vec<usize>,
+    /// One-way delay between domains of a region.
+    pub domain_delay: Duration,
+    /// One-way delay between regions.
+    pub region_delay: Duration,
+    /// Bytes per second from one region to another.
+    pub link: u64,
+    /// Region that dies, and when.
+    pub loss: Option<(usize, Duration)>,
+}
+
 /// How decisions are made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Policy {
@@ -80,6 +97,10 @@
     pub vms: usize,
     /// Services.
     pub services: Vec<Service>,
+    /// Regions, if there is more than one domain.
+    pub regions: Option<Regions>,
+    /// Boundaries of the phases by which requests are counted.
+    pub phases: Vec<Duration>,
     /// Slow servers.
     pub slowdowns: Vec<Slowdown>,
     /// Connections that each entry VM serves at once, for all services.
@@ -103,6 +124,8 @@
             policy: Policy::Steered,
             vms: 2,
             services: Vec::new(),
+            regions: None,
+            phases: Vec::new(),
             slowdowns: Vec::new(),
             connections: u32::MAX,
             link: 0,
--- a/components/load/src/model/stats.rs
+++ b/components/load/src/model/stats.rs
@@ -17,6 +17,8 @@
     pub latency: Histogram<u64>,
     /// Requests.
     pub requests: u64,
+    /// Requests whose outcome their caller does not know.
+    pub unknown: u64,
     /// Responses after the deadline.
     pub late: u64,
     /// Refusals by reason.
@@ -28,6 +30,7 @@
         Group {
             latency: Histogram::new_with_max(MAX_MICROS, 3).expect("bounds are constants"),
             requests: 0,
+            unknown: 0,
             late: 0,
             refused: BTreeMap::new(),
         }
@@ -54,6 +57,7 @@
             .expect("histograms have equal bounds");
         self.requests += other.requests;
         self.late += other.late;
+        self.unknown += other.unknown;
         for (why, n) in &other.refused {
             *self.refused.entry(*why).or_default() += n;
         }
@@ -74,12 +78,20 @@
 /// What a run measured after its warm-up.
 #[derive(Clone, Debug, Default)]
 pub struct Stats {
-    /// By service and house.
-    pub groups: BTreeMap<(usize, HouseId), Group>,
+    /// By service, house and phase.
+    pub groups: BTreeMap<(usize, HouseId, usize), Group>,
     /// Attempts that reached a server, by service.
     pub attempts: BTreeMap<usize, u64>,
     /// Requests that found all slots of their server busy, over the whole run.
     pub over_limit: u64,
+    /// Refusals, over the whole run, while a server that is not lost had a free slot.
+    pub refused_despite_slots: u64,
+    /// Binding requests that more than one server has started.
+    pub ran_twice: u64,
+    /// Largest backlog of a link between regions.
+    pub link_backlog: Duration,
+    /// Bytes between regions.
+    pub link_bytes: u64,
     /// Suspensions of servers, over the whole run.
     pub suspended: u64,
 }
@@ -88,7 +100,7 @@
     /// All groups of a service that pass the filter, as one.
     pub fn group(&self, service: usize, filter: impl Fn(&HouseId) -> bool) -> Group {
         let mut sum = Group::default();
-        for ((s, house), group) in &self.groups {
+        for ((s, house, _), group) in &self.groups {
             if *s == service && filter(house) {
                 sum.add(group);
             }
@@ -96,6 +108,24 @@
         sum
     }
 
+    /// All groups of a phase, as one.
+    pub fn phase(&self, phase: usize) -> Group {
+        let mut sum = Group::default();
+        for ((.., p), group) in &self.groups {
+            if *p == phase {
+                sum.add(group);
+            }
+        }
+        sum
+    }
+
+    /// Attempts per request of all services.
+    pub fn attempts_per_request_of_all(&self) -> f64 {
+        let requests: u64 = self.groups.values().map(|g| g.requests).sum();
+        let attempts: u64 = self.attempts.values().sum();
+        attempts as f64 / requests.max(1) as f64
+    }
+
     /// Attempts per request of a service.
     pub fn attempts_per_request(&self, service: usize) -> f64 {
         let requests = self.group(service, |_| true).requests;
--- a/components/load/src/model/vm.rs
+++ b/components/load/src/model/vm.rs
@@ -13,6 +13,7 @@
 use super::breaker::Breaker;
 use super::link::Link;
 use super::scenario::{Policy, Scenario, Service};
+use super::spill::Domain;
 
 /// A waiting attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,10 +53,10 @@
         let name = |i: usize| -> ServerId { format!("{service}-{i:02}").into() };
         let servers: Vec<ServerId> = (0..model.servers).map(name).collect();
         let slots: Vec<_> = servers.iter().map(|s| (s.clone(), model.slots)).collect();
-        let vms: Vec<EntryVmId> = (0..scenario.vms).map(vm_name).collect();
+        let vms: Vec<EntryVmId> = model.vms.iter().copied().map(vm_name).collect();
         let mut parts = slots::split(&slots, &vms, &BTreeSet::new());
         let mut ledger = Ledger::new(slots::Settings::default(), Duration::ZERO);
-        ledger.adopt(1, parts.remove(&vms[vm]).unwrap_or_default());
+        ledger.adopt(1, parts.remove(&vm_name(vm)).unwrap_or_default());
         ledger.peers_settled(1);
         ledger.confirm(Duration::ZERO);
         let mut selector = Selector::new(selector_settings(scenario.policy));
@@ -145,8 +146,12 @@
     pub queue: Queue<u32>,
     /// Connections.
     pub connections: Slots,
-    /// Link to clients.
-    pub link: Link,
+    /// Links: to clients, and to each region.
+    pub links: Vec<Link>,
+    /// What it knows about each domain.
+    pub domains: Vec<Domain>,
+    /// Requests relayed to other domains, and when.
+    pub relays: BTreeMap<u32, Duration>,
     /// Permits of running attempts.
     pub permits: BTreeMap<u32, Permit>,
 }
@@ -164,8 +169,21 @@
                 total: scenario.connections,
                 ..Slots::default()
             },
-            link: Link::new(scenario.link),
+            links: links(scenario),
+            domains: vec![Domain::default(); scenario.services.len()],
+            relays: BTreeMap::new(),
             permits: BTreeMap::new(),
         }
     }
 }
+
+fn links(scenario: &Scenario) -> Vec<Link> {
+    let mut links = vec![Link::new(scenario.link)];
+    if let Some(regions) = &scenario.regions {
+        // The entry VMs of a region share each of its links equally.
+        let count = regions.of.iter().max().map_or(1, |last| last + 1);
+        let share = regions.link * count as u64 / scenario.vms.max(1) as u64;
+        links.extend((0..count).map(|_| Link::new(share)));
+    }
+    links
+}
--- a/components/load/tests/model.rs
+++ b/components/load/tests/model.rs
@@ -9,6 +9,7 @@
 
 fn scenario(policy: Policy, class: Class) -> Scenario {
     let mut service = Service {
+        vms: vec![0, 1],
         class,
         servers: 4,
         slots: 3,
