--- a/components/limits/src/slots/ledger.rs
+++ b/components/limits/src/slots/ledger.rs
@@ -234,7 +234,8 @@
         let servers = self.permits.keys().map(|p| &p.server);
         let servers = servers.chain(self.lent.values().map(|l| &l.server));
         servers.into_iter().all(|server| {
-            let usage = self.usage(server);
+            // Borrowed slots do not matter here.
+            let usage = self.usage(self.ticked, server);
             usage.own + usage.lent <= usage.part
         })
     }
@@ -294,8 +295,8 @@
         self.confirmed = true;
     }
 
-    /// Slots of a server at this VM.
-    pub fn usage(&self, server: &ServerId) -> Usage {
+    /// Slots of a server at this VM. An idle borrowed slot counts while new requests may take it.
+    pub fn usage(&self, now: Duration, server: &ServerId) -> Usage {
         let mut usage = Usage {
             part: self.parts.get(server).copied().unwrap_or(0),
             ..Usage::default()
@@ -308,8 +309,16 @@
         }
         let lent = self.lent.values().filter(|l| l.server == *server);
         usage.lent = lent.map(|l| l.slots).sum();
-        let borrowed = self.borrowed.values().filter(|b| b.server == *server);
-        usage.borrowed = borrowed.map(|b| b.slots).sum();
+        let borrowed = self.borrowed.iter().filter(|(_, b)| b.server == *server);
+        usage.borrowed = borrowed
+            .map(|(key, b)| {
+                if self.may_start(now, b) {
+                    b.slots
+                } else {
+                    self.used(*key, server)
+                }
+            })
+            .sum();
         usage
     }
 
@@ -335,7 +344,7 @@
         }
         let borrowed = self.free_borrowed(now, server);
         let loan = borrowed.filter(|_| class != Class::Binding);
-        if loan.is_none() && self.usage(server).free_own() == 0 {
+        if loan.is_none() && self.usage(now, server).free_own() == 0 {
             return Err(Report::new(Error::NoIdleSlot));
         }
         self.next += 1;
@@ -347,16 +356,25 @@
         Ok(permit)
     }
 
-    /// Borrowed loan with an idle slot and at least half of its term left.
+    /// Borrowed loan with an idle slot that a new request may take.
     fn free_borrowed(&self, now: Duration, server: &ServerId) -> Option<u64> {
         let usable = self.borrowed.iter().find(|(key, b)| {
-            let used = self.permits_of(server).filter(|l| **l == Some(**key));
-            let left = b.until.saturating_sub(now);
-            b.server == *server && left > self.settings.term / 2 && used.count() < b.slots as usize
+            b.server == *server && self.may_start(now, b) && self.used(**key, server) < b.slots
         });
         usable.map(|(key, _)| *key)
     }
 
+    /// New requests start only in the first half of a lease, so that it can be extended in time.
+    fn may_start(&self, now: Duration, loan: &Borrowed) -> bool {
+        loan.until.saturating_sub(now) > self.settings.term / 2
+    }
+
+    /// Slots of a borrowed loan that are in use.
+    fn used(&self, key: u64, server: &ServerId) -> u32 {
+        let used = self.permits_of(server).filter(|l| **l == Some(key));
+        used.count() as u32
+    }
+
     /// Returns a slot after the request has ended or was cancelled.
     pub fn release(&mut self, permit: &Permit) {
         self.permits.remove(permit);
@@ -375,7 +393,7 @@
         if !self.confirmed {
             return Err(Report::new(Error::Paused));
         }
-        let idle = self.usage(server).free_own().saturating_sub(reserve);
+        let idle = self.usage(now, server).free_own().saturating_sub(reserve);
         let slots = idle.min(wanted);
         if slots == 0 {
             return Err(Report::new(Error::NoIdleSlot));
--- a/components/limits/tests/slots.rs
+++ b/components/limits/tests/slots.rs
@@ -93,15 +93,15 @@
     a.adopt(2, Parts::from([(id(), 1)]));
     b.adopt(2, Parts::from([(id(), 2)]));
     assert!(!a.settled());
-    assert_eq!(b.usage(&id()).part, 1);
+    assert_eq!(b.usage(ms(0), &id()).part, 1);
     a.release(&held[0]);
     assert!(a.settled());
     a.adopt(1, Parts::from([(id(), 3)]));
-    assert_eq!(a.usage(&id()).part, 1);
+    assert_eq!(a.usage(ms(0), &id()).part, 1);
     b.peers_settled(1);
-    assert_eq!(b.usage(&id()).part, 1);
+    assert_eq!(b.usage(ms(0), &id()).part, 1);
     b.peers_settled(2);
-    assert_eq!(b.usage(&id()).part, 2);
+    assert_eq!(b.usage(ms(0), &id()).part, 2);
 }
 
 /// Guards against an entry VM that was paused, was declared gone, and continues to send.
@@ -142,13 +142,13 @@
     let permit = borrower
         .acquire(ms(5), &id(), Class::Idempotent)
         .expect("borrowed");
-    assert_eq!(lender.usage(&id()).free(), 1);
+    assert_eq!(lender.usage(ms(0), &id()).free(), 1);
     assert_eq!(borrower.tick(ms(474)), vec![]);
     assert_eq!(borrower.tick(ms(475)), vec![permit]);
     lender.tick(ms(501));
-    assert_eq!(lender.usage(&id()).free(), 1);
+    assert_eq!(lender.usage(ms(0), &id()).free(), 1);
     lender.tick(ms(502));
-    assert_eq!(lender.usage(&id()).free(), 3);
+    assert_eq!(lender.usage(ms(0), &id()).free(), 3);
     let late = borrower.borrow(ms(480), &request, grant);
     assert!(late.is_err());
 }
@@ -333,7 +333,8 @@
     /// Borrowed slots in use at paused VMs.
     fn count_residual(&mut self) {
         let paused = (0..3).filter(|vm| self.now < self.paused[*vm]);
-        let borrowed = paused.map(|vm| self.vms[vm].usage(&id()).borrowed_in_use as usize);
+        let borrowed =
+            paused.map(|vm| self.vms[vm].usage(self.now, &id()).borrowed_in_use as usize);
         self.residual = borrowed.sum();
     }
 }
--- a/components/load/src/model/run.rs
+++ b/components/load/src/model/run.rs
@@ -1,6 +1,7 @@
 //! The event loop.
 
 mod attempts;
+mod loans;
 mod relay;
 mod responses;
 
@@ -13,6 +14,7 @@
 use routing::server::LoadReport;
 use smallvec::SmallVec;
 
+use self::loans::{Message, Route};
 use super::events::Events;
 use super::link::Remainder;
 use super::scenario::{
@@ -57,6 +59,8 @@
     Digested(usize, usize, Digest),
     /// A caller tries another entry VM.
     Reconnect(u32),
+    /// A message reaches another entry VM of the domain.
+    Peer(Route, Message),
     /// A region dies.
     Loss,
     /// Timers of all entry VMs.
@@ -220,6 +224,7 @@
             Event::Digest => self.measure_domains(),
             Event::Digested(domain, region, digest) => self.digested(domain, region, digest),
             Event::Reconnect(request) => self.reconnect(request),
+            Event::Peer(route, message) => self.peer_message(route, message),
             Event::Loss => self.lose_region(),
             Event::Tick => self.tick(),
             Event::Measure => self.measure(),
@@ -376,7 +381,7 @@
         } = self.requests[job.request as usize];
         let entry = self.entry(job.request, job);
         let desk = &mut self.vms[vm].desks[service];
-        let slots = desk.slots();
+        let slots = desk.slots(self.now);
         match desk.queue.push(self.now, entry, slots) {
             Ok(displaced) => {
                 if let Some(entry) = displaced {
@@ -418,9 +423,8 @@
                 self.refuse(entry.item, Refusal::Expired);
             }
             for service in 0..self.vms[vm].desks.len() {
+                self.tend_loans(vm, service);
                 let desk = &mut self.vms[vm].desks[service];
-                desk.ledger.tick(self.now);
-                desk.ledger.confirm(self.now);
                 for entry in desk.queue.expire(self.now) {
                     self.drop_job(entry.item, Refusal::Expired);
                 }
--- a/components/load/src/model/run/attempts.rs
+++ b/components/load/src/model/run/attempts.rs
@@ -16,11 +16,13 @@
     pub(super) fn pump(&mut self, vm: usize, service: usize) {
         loop {
             let desk = &mut self.vms[vm].desks[service];
-            let slots = desk.slots();
+            let slots = desk.slots(self.now);
             let Some(class) = desk.queue.next_class(slots) else {
+                self.ask_for_slot(vm, service);
                 return;
             };
             let Some(server) = desk.choose(self.now, class, &[], &mut self.rng) else {
+                self.ask_for_slot(vm, service);
                 return;
             };
             let popped = desk.queue.pop(self.now, slots);
--- a/components/load/src/model/run/relay.rs
+++ b/components/load/src/model/run/relay.rs
@@ -80,7 +80,9 @@
         }
         let desk = &self.vms[vm].desks[home];
         let class = self.scenario.services[home].class;
-        let wait = desk.queue.expected_wait(class, &r.house, desk.slots());
+        let wait = desk
+            .queue
+            .expected_wait(class, &r.house, desk.slots(self.now));
         let candidates = (0..self.scenario.services.len()).filter(|d| *d != home);
         let candidates = candidates
             .filter(|d| !r.tried.contains(d))
@@ -118,7 +120,9 @@
         }
         let desk = &self.vms[vm].desks[r.pool];
         let class = self.scenario.services[r.pool].class;
-        let wait = desk.queue.expected_wait(class, &r.house, desk.slots());
+        let wait = desk
+            .queue
+            .expected_wait(class, &r.house, desk.slots(self.now));
         if wait > MAX_RELAY_WAIT {
             self.send_back(request, Refusal::Full);
             return;
@@ -237,7 +241,7 @@
             let mut digest = Digest::default();
             for vm in &self.scenario.services[domain].vms {
                 let desk = &self.vms[*vm].desks[domain];
-                let slots = desk.slots();
+                let slots = desk.slots(self.now);
                 digest.slots += slots.total;
                 digest.load += slots.in_use + desk.queue.len() as u32;
             }
--- a/components/load/src/model/stats.rs
+++ b/components/load/src/model/stats.rs
@@ -86,6 +86,8 @@
     pub over_limit: u64,
     /// Refusals, over the whole run, while a server that is not lost had a free slot.
     pub refused_despite_slots: u64,
+    /// Attempts cancelled because the lease of their slot ended, over the whole run.
+    pub ended_leases: u64,
     /// Binding requests that more than one server has started.
     pub ran_twice: u64,
     /// Largest backlog of a link between regions.
--- a/components/load/src/model/vm.rs
+++ b/components/load/src/model/vm.rs
@@ -41,6 +41,10 @@
     pub hedge: Hedge,
     /// Breaker per server, for [`Policy::Breaker`].
     pub breakers: Vec<Breaker>,
+    /// When it last asked for a slot.
+    pub asked: Option<Duration>,
+    /// Entry VM of each borrowed loan, by server and loan number.
+    pub lenders: BTreeMap<(ServerId, u64), usize>,
     /// Slots held by deferrable work.
     pub deferrable: u32,
     /// Next server of the round robin, for [`Policy::Plain`].
@@ -69,19 +73,21 @@
             selector,
             budget: Budget::new(config::Rules::default().retry_budget),
             hedge: Hedge::new(hedge::Settings::default()),
+            asked: None,
+            lenders: BTreeMap::new(),
             deferrable: 0,
             turn: 0,
         }
     }
 
     /// Slots of this VM, for the queue.
-    pub fn slots(&self) -> Slots {
+    pub fn slots(&self, now: Duration) -> Slots {
         let mut slots = Slots {
             deferrable: self.deferrable,
             ..Slots::default()
         };
         for id in &self.servers {
-            let usage = self.ledger.usage(id);
+            let usage = self.ledger.usage(now, id);
             slots.total += usage.part + usage.borrowed;
             slots.in_use += usage.part + usage.borrowed - usage.free();
         }
@@ -97,7 +103,7 @@
         rng: &mut fastrand::Rng,
     ) -> Option<ServerId> {
         let share = |id: &ServerId| {
-            let usage = self.ledger.usage(id);
+            let usage = self.ledger.usage(now, id);
             let free = match class {
                 Class::Binding => usage.free_own(),
                 Class::Idempotent | Class::Deferrable => usage.free(),
