--- a/components/limits/src/hedge.rs
+++ b/components/limits/src/hedge.rs
@@ -26,7 +26,8 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            quantile: 0.95,
+            // Hedges use at most 4% of the traffic and leave a fifth of a budget of 5% to retries.
+            quantile: 0.96,
             window: Duration::from_secs(5),
             min_samples: 50,
             min_delay: Duration::from_millis(2),
