Pace what entry VMs send to other regions

Cause: answers relayed between regions were sent as fast as the sockets took them, past the link's limit. Ruled out: a limit at the receiving side only (the bytes have crossed the link by then). Change: each entry VM has an equal part of each link that starts in its region; request and answer bytes wait for it, binding and short ones first. Conclusion: the sum over entry VMs stays under the limit by construction; heads count as 1 KiB each for requests and are not counted for answers.

--- a/components/deployment/src/running.rs
+++ b/components/deployment/src/running.rs
@@ -193,16 +193,22 @@
 
     /// Waits until a generation is in force at every running entry VM; returns the time taken.
     pub async fn wait_generation(&self, generation: Generation) -> Result<Duration> {
-        self.wait(|status| status.generation >= generation).await
+        self.wait(|_, status| status.generation >= generation).await
     }
 
-    /// Waits until every running entry VM has slots.
+    /// Waits until every running entry VM has a configuration and, where its domain has servers,
+    /// slots.
     async fn wait_ready(&self) -> Result<Duration> {
-        self.wait(|status| status.free_slots.values().any(|free| *free > 0))
-            .await
+        let servers = &self.configuration.inventory.servers;
+        self.wait(|vm, status| {
+            let has_servers = servers.iter().any(|s| s.domain == vm.domain);
+            let has_slots = status.free_slots.values().any(|free| *free > 0);
+            status.generation > 0 && (has_slots || !has_servers)
+        })
+        .await
     }
 
-    async fn wait(&self, is_met: impl Fn(&Status) -> bool) -> Result<Duration> {
+    async fn wait(&self, is_met: impl Fn(&EntryVm, &Status) -> bool) -> Result<Duration> {
         let started = Instant::now();
         for vm in self.running() {
             loop {
@@ -211,7 +217,7 @@
                 }
                 if read_status(vm.operator_address)
                     .await
-                    .is_ok_and(|s| is_met(&s))
+                    .is_ok_and(|s| is_met(vm, &s))
                 {
                     break;
                 }
--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -222,7 +222,7 @@
         let state = services
             .get_mut(&meta.service)
             .ok_or(Code::UnknownService)?;
-        let slots = state.slots(ledger);
+        let slots = state.slots(now, ledger);
         if slots.total == 0 {
             return Err(Code::NoServer);
         }
@@ -256,7 +256,7 @@
             rng,
         } = &mut *inner;
         let state = services.get_mut(&meta.service)?;
-        let slots = state.slots(ledger);
+        let slots = state.slots(now, ledger);
         if slots.in_use >= slots.total || !state.queue.is_empty() {
             return None;
         }
@@ -293,12 +293,13 @@
 
     /// Tells how many slots of each service are free.
     pub fn free_slots(&self) -> BTreeMap<ServiceId, u32> {
+        let now = self.clock.uptime();
         let inner = self.lock();
         inner
             .services
             .iter()
             .map(|(id, state)| {
-                let slots = state.slots(&inner.ledger);
+                let slots = state.slots(now, &inner.ledger);
                 let waiting = u32::try_from(state.queue.len()).unwrap_or(u32::MAX);
                 (
                     id.clone(),
@@ -353,7 +354,7 @@
         {
             return false;
         }
-        let popped = state.queue.pop(now, state.slots(ledger));
+        let popped = state.queue.pop(now, state.slots(now, ledger));
         let started = popped.next.map(|entry| {
             let server = state
                 .choose(now, ledger, &entry.item.avoid, entry.class, rng)
@@ -424,13 +425,13 @@
     }
 
     /// Sums the slots of the servers that take new work.
-    fn slots(&self, ledger: &Ledger) -> Slots {
+    fn slots(&self, now: Duration, ledger: &Ledger) -> Slots {
         let mut slots = Slots {
             deferrable: self.deferrable,
             ..Slots::default()
         };
         for (id, server) in &self.servers {
-            let usage = ledger.usage(id);
+            let usage = ledger.usage(now, id);
             let in_use = usage.own + usage.borrowed_in_use;
             slots.in_use += in_use;
             if server.effective() == State::Ready {
@@ -451,7 +452,7 @@
         rng: &mut fastrand::Rng,
     ) -> Option<ServerId> {
         let share = |id: &ServerId| {
-            let usage = ledger.usage(id);
+            let usage = ledger.usage(now, id);
             Share {
                 slots: usage.part + usage.borrowed,
                 free: usage.free(),
@@ -495,7 +496,7 @@
         self.selector
             .finished(now, &slot.permit.server, latency, outcome);
         if outcome == Outcome::Answered {
-            self.queue.record_service_time(held);
+            self.queue.record_service_time(slot.class, held);
             self.hedge.record(now, latency);
         }
     }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -6,6 +6,7 @@
 mod error;
 pub mod exchange;
 mod in_force;
+mod links;
 mod listeners;
 mod look_up;
 mod node;
@@ -122,6 +123,7 @@
     runtime::spawn(digests::run(n(), timer.subscribe(SLOW_PERIOD))).detach();
     runtime::spawn(health::run(n(), timer.subscribe(SLOW_PERIOD))).detach();
     runtime::spawn(claims::run(n())).detach();
+    runtime::spawn(links::run(n())).detach();
     runtime::spawn(vm_list::run(n(), timer.subscribe(SLOW_PERIOD))).detach();
 }
 
--- /dev/null
+++ b/components/entry/src/links.rs
@@ -0,0 +1,215 @@
+//! Pacing of bytes that this entry VM sends to other regions.
+//!
+//! Each entry VM of a region has an equal part of each link's limit, so the sum never passes it,
+//! whatever the others know.
+
+use std::collections::BTreeMap;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use config::{Class, RegionId};
+use futures_lite::{AsyncBufRead, AsyncRead, FutureExt, Stream, io};
+use http::{Body, Response};
+use limits::pacing::{Lane, Pacer, Settings, Step};
+
+use crate::in_force::InForce;
+use crate::node::Node;
+
+/// Longest time between two looks at the offered chunks.
+const MAX_WAIT: Duration = Duration::from_millis(100);
+
+/// Links from the region of this entry VM.
+pub struct Links {
+    /// Chunks offered per destination.
+    pacers: Mutex<BTreeMap<RegionId, Pacer<Sender<()>>>>,
+    /// Wakes the task after an offer.
+    wake: (Sender<()>, Receiver<()>),
+}
+
+impl Default for Links {
+    fn default() -> Self {
+        Links {
+            pacers: Mutex::new(BTreeMap::new()),
+            wake: async_channel::bounded(1),
+        }
+    }
+}
+
+impl Links {
+    /// Takes the link limits of a configuration.
+    pub fn adopt(&self, cfg: &InForce, region: &str, now: Duration) {
+        let inventory = &cfg.configuration.inventory;
+        let vms = inventory
+            .entry_vms
+            .iter()
+            .filter(|v| cfg.region(&v.domain).is_some_and(|r| **r == *region));
+        let vms = vms.count().max(1) as u64;
+        let mut pacers = self.lock();
+        for link in inventory.links.iter().filter(|l| *l.from == *region) {
+            let bytes_per_second = link.bytes_per_second / vms;
+            pacers
+                .entry(link.to.clone())
+                .or_insert_with(|| {
+                    Pacer::new(
+                        Settings {
+                            bytes_per_second,
+                            ..Settings::default()
+                        },
+                        now,
+                    )
+                })
+                .set_rate(now, bytes_per_second);
+        }
+    }
+
+    /// Offers bytes for a region; the receiver gets a message when they may be sent.
+    ///
+    /// `None` means that no limit is known for the way there.
+    fn offer(&self, to: &str, lane: Lane, bytes: u64) -> Option<Receiver<()>> {
+        let (tx, rx) = async_channel::bounded(1);
+        self.lock().get_mut(to)?.push(lane, bytes, tx);
+        // A full channel means that the task is already due.
+        let _ = self.wake.0.try_send(());
+        Some(rx)
+    }
+
+    /// Waits until bytes may be sent to a region.
+    pub async fn take(&self, to: &str, class: Class, bytes: u64) {
+        if let Some(rx) = self.offer(to, Lane::of(class, 0), bytes) {
+            // The task ends only with the process.
+            let _ = rx.recv().await;
+        }
+    }
+
+    /// Lets due chunks go; returns the time until the next one.
+    fn release(&self, now: Duration) -> Duration {
+        let mut next = MAX_WAIT;
+        for pacer in self.lock().values_mut() {
+            loop {
+                match pacer.pop(now) {
+                    // A closed channel belongs to a caller that has left; its bytes are not sent.
+                    Step::Send(tx) => drop(tx.try_send(())),
+                    Step::Wait(wait) => {
+                        next = next.min(wait);
+                        break;
+                    }
+                    Step::Idle => break,
+                }
+            }
+        }
+        next
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<RegionId, Pacer<Sender<()>>>> {
+        self.pacers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Lets chunks go until the process ends.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        let wait = node.links.release(node.now());
+        let woken = async { node.links.wake.1.recv().await.is_ok() };
+        let elapsed = async {
+            runtime::sleep(wait).await;
+            true
+        };
+        if !woken.or(elapsed).await {
+            return;
+        }
+    }
+}
+
+/// Paces the body of a response that goes to another region.
+pub fn pace(node: &Arc<Node>, mut res: Response, to: &RegionId, class: Class) -> Response {
+    let len = res.len();
+    let body = res.take_body();
+    let paced = PacedBody {
+        body,
+        node: node.clone(),
+        to: to.clone(),
+        class,
+        sent: 0,
+        granted: 0,
+        waiting: None,
+    };
+    res.set_body(Body::from_reader(paced, len));
+    res
+}
+
+/// Body whose chunks wait for their part of the link.
+struct PacedBody {
+    /// Body.
+    body: Body,
+    /// Process state with the links.
+    node: Arc<Node>,
+    /// Region that the body goes to.
+    to: RegionId,
+    /// Class of the request.
+    class: Class,
+    /// Bytes handed on.
+    sent: u64,
+    /// Bytes that may be handed on now.
+    granted: usize,
+    /// Receives the next grant, with its size.
+    waiting: Option<(Pin<Box<Receiver<()>>>, usize)>,
+}
+
+impl PacedBody {
+    /// Waits for a grant for the bytes at the front of the body.
+    fn poll_grant(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while self.granted == 0 {
+            if let Some((rx, bytes)) = &mut self.waiting {
+                ready!(rx.as_mut().poll_next(cx));
+                self.granted = *bytes;
+                self.waiting = None;
+                return Poll::Ready(Ok(()));
+            }
+            let available = ready!(Pin::new(&mut self.body).poll_fill_buf(cx))?.len();
+            if available == 0 {
+                return Poll::Ready(Ok(()));
+            }
+            let lane = Lane::of(self.class, self.sent);
+            let most = usize::try_from(lane.chunk_bytes()).unwrap_or(usize::MAX);
+            let bytes = available.min(most);
+            match self.node.links.offer(&self.to, lane, bytes as u64) {
+                Some(rx) => self.waiting = Some((Box::pin(rx), bytes)),
+                None => self.granted = bytes,
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncBufRead for PacedBody {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        ready!(this.poll_grant(cx))?;
+        let granted = this.granted;
+        let buf = ready!(Pin::new(&mut this.body).poll_fill_buf(cx))?;
+        Poll::Ready(Ok(&buf[..buf.len().min(granted)]))
+    }
+
+    fn consume(mut self: Pin<&mut Self>, amt: usize) {
+        self.granted = self.granted.saturating_sub(amt);
+        self.sent += amt as u64;
+        Pin::new(&mut self.body).consume(amt);
+    }
+}
+
+impl AsyncRead for PacedBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let available = ready!(self.as_mut().poll_fill_buf(cx))?;
+        let n = available.len().min(buf.len());
+        buf[..n].copy_from_slice(&available[..n]);
+        self.consume(n);
+        Poll::Ready(Ok(n))
+    }
+}
--- a/components/entry/src/listeners.rs
+++ b/components/entry/src/listeners.rs
@@ -10,7 +10,7 @@
 use crate::agents::{configuration, digests, heartbeats};
 use crate::node::Node;
 use crate::request::{Meta, Outgoing};
-use crate::{look_up, peer, relay, steer, work};
+use crate::{links, look_up, peer, relay, steer, work};
 
 /// Path of look-ups.
 pub const LOOK_UP_PATH: &str = "/lookup";
@@ -99,8 +99,8 @@
 
 /// Serves a request that another entry VM passed on.
 async fn relayed(node: Arc<Node>, path: &str, req: Request) -> Response {
-    let req = match peer::unpack(&node, path, req).await {
-        Ok(req) => req,
+    let (req, from) = match peer::unpack(&node, path, req).await {
+        Ok(unpacked) => unpacked,
         Err(refusal) => return refusal.response(),
     };
     let meta = match read(&node, &req) {
@@ -110,16 +110,26 @@
         },
         Err(refusal) => return refusal.response(),
     };
-    if path == peer::WORK_PATH {
-        return serve(&node, meta, req).await;
-    }
-    if node.is_stopping() {
-        return refuse_stopping(&node);
+    let class = meta.class;
+    let res = if path == peer::WORK_PATH {
+        serve(&node, meta, req).await
+    } else if node.is_stopping() {
+        refuse_stopping(&node)
+    } else {
+        serve_relayed(&node, &meta, req).await
+    };
+    match node.other_region(&from) {
+        Some(region) => links::pace(&node, res, &region, class),
+        None => res,
     }
+}
+
+/// Serves a request of another failure domain from the servers of this one.
+async fn serve_relayed(node: &Arc<Node>, meta: &Meta, req: Request) -> Response {
     let outgoing = Outgoing::take(req).await;
     match meta.class {
-        Class::Binding => work::serve_relayed(&node, &meta, &outgoing).await,
-        _ => relay::serve(&node, &meta, &outgoing)
+        Class::Binding => work::serve_relayed(node, meta, &outgoing).await,
+        _ => relay::serve(node, meta, &outgoing)
             .await
             .unwrap_or_else(relay::refuse),
     }
--- a/components/entry/src/node.rs
+++ b/components/entry/src/node.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use binding::{Context, Identity, KeyRing};
-use config::{Configuration, EntryVmId, Generation, ServiceId, Settings};
+use config::{Configuration, EntryVmId, Generation, RegionId, ServiceId, Settings};
 use error_stack::ResultExt;
 use http::client::ClientOptions;
 use http::peer::Signature;
@@ -21,6 +21,7 @@
 use crate::claims::Claims;
 use crate::error::{Error, Result};
 use crate::in_force::InForce;
+use crate::links::Links;
 use crate::reach::{self, Reachable};
 use crate::split::own_parts;
 use crate::steer::Steers;
@@ -46,6 +47,8 @@
     pub steers: Steers,
     /// Free slots per service that each peer has reported.
     free: Mutex<BTreeMap<EntryVmId, BTreeMap<ServiceId, u32>>>,
+    /// Links to other regions.
+    pub links: Links,
     /// Claims of caller-supplied keys.
     pub claims: Claims,
     /// Client of the platform.
@@ -79,6 +82,7 @@
             }),
             reachable,
             steers: Steers::default(),
+            links: Links::default(),
             free: Mutex::new(BTreeMap::new()),
             claims: Claims::new(identity.clone()),
             membership: Mutex::new(membership),
@@ -114,6 +118,13 @@
             .clone()
     }
 
+    /// Returns the region of a failure domain when it is not the own one.
+    pub fn other_region(&self, domain: &str) -> Option<RegionId> {
+        let cfg = self.in_force()?;
+        let region = cfg.region(domain)?;
+        (cfg.region(&self.settings.domain) != Some(region)).then(|| region.clone())
+    }
+
     /// Returns the generation in force; 0 without one.
     pub fn generation(&self) -> Generation {
         self.in_force().map_or(0, |c| c.generation)
@@ -142,6 +153,11 @@
         }
         self.admission.adopt(&next, &self.settings.domain);
         self.adopt_members(&next, current.is_none());
+        let region = next
+            .region(&self.settings.domain)
+            .cloned()
+            .unwrap_or_default();
+        self.links.adopt(&next, &region, self.now());
         *current = Some(next);
         drop(current);
         self.refresh_split();
--- a/components/entry/src/peer.rs
+++ b/components/entry/src/peer.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use config::Class;
+use config::{Class, DomainId, RegionId};
 use http::client::{self, ClientOptions};
 use http::codes::{self, CODE_HEADER, Code, Refusal};
 use http::peer::Signature;
@@ -23,12 +23,17 @@
 pub const RELAY_PATH: &str = "/peer/relay";
 /// Header with the method of the relayed request.
 const METHOD_HEADER: &str = "x-relay-method";
+/// Header with the failure domain of the entry VM that passes a request on.
+const FROM_HEADER: &str = "x-relay-from";
 /// Header with path and query of the relayed request.
 const PATH_HEADER: &str = "x-relay-path";
 /// Time to open a connection to another entry VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes that a relayed request's head counts for on a link.
+const HEAD_BYTES: u64 = 1024;
 /// Headers that the keyed hash covers, in this order.
-const SIGNED: [&str; 7] = [
+const SIGNED: [&str; 8] = [
+    FROM_HEADER,
     METHOD_HEADER,
     PATH_HEADER,
     SERVICE_HEADER,
@@ -66,6 +71,10 @@
     meta: &Meta,
     outgoing: &Outgoing,
 ) -> Result<Response, Error> {
+    if let Some(region) = other_region_of(node, address) {
+        let bytes = outgoing.body().len() as u64 + HEAD_BYTES;
+        node.links.take(&region, meta.class, bytes).await;
+    }
     let remaining = meta.deadline.saturating_sub(node.now());
     let tcp = reach::connect(&node.reachable, address, CONNECT_TIMEOUT.min(remaining))
         .await
@@ -81,6 +90,13 @@
         .map_err(|e| *e.current_context())
 }
 
+/// Returns the region of an entry VM when it is not the own one.
+fn other_region_of(node: &Node, address: SocketAddr) -> Option<RegionId> {
+    let cfg = node.in_force()?;
+    let mut vms = cfg.configuration.inventory.entry_vms.iter();
+    node.other_region(&vms.find(|v| v.peer_address == address)?.domain)
+}
+
 fn build(node: &Node, path: &str, meta: &Meta, outgoing: &Outgoing) -> Result<Request, Error> {
     let remaining = meta.deadline.saturating_sub(node.now());
     let mut req = outgoing.build(remaining);
@@ -88,6 +104,7 @@
     req.set_method(Method::Post);
     *req.url_mut() = target.url().clone();
     req.remove_header("host");
+    req.insert_header(FROM_HEADER, &*node.settings.domain);
     req.insert_header(METHOD_HEADER, outgoing.method().to_string());
     req.insert_header(PATH_HEADER, outgoing.path());
     req.insert_header(SERVICE_HEADER, &*meta.service);
@@ -106,8 +123,12 @@
     Ok(req)
 }
 
-/// Restores the request that another entry VM passed on; an error is the refusal.
-pub async fn unpack(node: &Node, path: &str, mut req: Request) -> Result<Request, Refusal> {
+/// Restores the request that another entry VM passed on, with the domain of that VM; an error is the refusal.
+pub async fn unpack(
+    node: &Node,
+    path: &str,
+    mut req: Request,
+) -> Result<(Request, DomainId), Refusal> {
     let body = req.body_bytes().await.unwrap_or_default();
     let valid =
         Signature::read(&req).is_some_and(|s| node.verify(&s, &signed_bytes(path, &req, &body)));
@@ -117,6 +138,7 @@
     let header = |name: &str| req.header(name).map(|v| v.as_str().to_owned());
     let method = header(METHOD_HEADER).and_then(|m| m.parse::<Method>().ok());
     let target = header(PATH_HEADER).and_then(|p| client::build(Method::Get, &p).ok());
+    let from: DomainId = header(FROM_HEADER).unwrap_or_default().into();
     let (Some(method), Some(target)) = (method, target) else {
         return Err(Refusal::new(
             Code::BadRequest,
@@ -125,12 +147,12 @@
     };
     req.set_method(method);
     *req.url_mut() = target.url().clone();
-    for name in [METHOD_HEADER, PATH_HEADER] {
+    for name in [FROM_HEADER, METHOD_HEADER, PATH_HEADER] {
         req.remove_header(name);
     }
     Signature::remove(&mut req);
     req.set_body(Body::from_bytes(body));
-    Ok(req)
+    Ok((req, from))
 }
 
 fn signed_bytes(path: &str, req: &Request, body: &[u8]) -> Vec<u8> {
