--- a/components/deployment/tests/links.rs
+++ b/components/deployment/tests/links.rs
@@ -7,7 +7,7 @@
     BackendServer, Class, Configuration, EntryVm, FailureDomain, Inventory, Link, Region, Rules,
     Service,
 };
-use deployment::{Answer, Caller, Deployment, Options, Work};
+use deployment::{Answer, Caller, Credential, Deployment, Options, Work};
 
 /// Limit of the link in each direction.
 const BYTES_PER_SECOND: u64 = 400_000;
@@ -88,7 +88,7 @@
 async fn wait_until_served(caller: &Caller, near: SocketAddr) {
     for i in 0..200 {
         let work = work("archive", false, 1000 + i, 0);
-        if caller.send(near, &work, None).await == Ok(Answer::Whole) {
+        if caller.send(near, &work, Credential::None).await == Ok(Answer::Whole) {
             return;
         }
         runtime::sleep(Duration::from_millis(50)).await;
@@ -115,7 +115,7 @@
             .map(|i| {
                 let caller = caller.clone();
                 let work = work("archive", false, i, LONG_ANSWER);
-                runtime::spawn(async move { caller.send(near, &work, None).await })
+                runtime::spawn(async move { caller.send(near, &work, Credential::None).await })
             })
             .collect();
         // Binding work goes ahead of the long answers, so it is not refused meanwhile.
@@ -123,7 +123,10 @@
         for i in 0..10 {
             let ticket = caller.look_up("bids").await.unwrap().ticket.unwrap();
             let bid = work("bids", true, i, 500);
-            let answer = caller.send(near, &bid, Some(&ticket)).await.unwrap();
+            let answer = caller
+                .send(near, &bid, Credential::Ticket(&ticket))
+                .await
+                .unwrap();
             assert_eq!(answer, Answer::Whole);
             bids += 1;
         }
