Lend idle slots between the entry VMs of a domain

Cause: an entry VM used only its own part of the slots, so its requests waited while a peer's part was idle. Ruled out: borrowing for binding work (it could not be cancelled when the lease ends). Change: the daemon carries the ledger's loans: ask, extend, return; a request on a slot whose lease ends is cancelled. admission.rs is split.

--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -1,69 +1,41 @@
 //! Admission of requests to the backend servers of this failure domain.
 
+mod loans;
+mod service;
+mod slot;
+
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use async_channel::Sender;
-use config::{Class, Generation, ServerId, ServiceId};
+use async_channel::{Receiver, Sender};
+use config::{Generation, ServerId, ServiceId};
 use http::codes::Code;
-use limits::budget::{Budget, Reason};
-use limits::hedge::{self, Hedge};
-use limits::queue::{Entry, Queue, Refusal, Slots};
+use limits::budget::Reason;
+use limits::hedge::Hedge;
+use limits::queue::{Entry, Refusal};
 use limits::slots::{Ledger, Parts, Permit};
-use routing::server::{LoadReport, Outcome, Selector, Share, State};
+use routing::server::{LoadReport, State};
 use runtime::Clock;
 use smallvec::SmallVec;
 
 use crate::in_force::InForce;
 use crate::request::Meta;
+use service::{ServerState, ServiceState, Waiter};
+
+pub use slot::Slot;
 
 /// Servers that an attempt should not go to.
 pub type Avoid = SmallVec<[ServerId; 4]>;
 
-/// Requests waiting for a slot of one service, and what is known about its servers.
-struct ServiceState {
-    /// Waiting requests.
-    queue: Queue<Waiter>,
-    /// Choice of the server.
-    selector: Selector,
-    /// Servers of this domain.
-    servers: BTreeMap<ServerId, ServerState>,
-    /// Slots held by deferrable work.
-    deferrable: u32,
-    /// Retry budget.
-    budget: Budget,
-    /// Hedge delay.
-    hedge: Hedge,
-}
-
-/// What is known about one server.
-struct ServerState {
-    /// Address.
-    address: SocketAddr,
-    /// Whether the configuration drains it.
-    drained: bool,
-    /// Whether the VM list says that it is leaving.
-    listed_leaving: bool,
-    /// What its health answer says.
-    reported: State,
-}
-
-/// A request that waits for a slot.
-struct Waiter {
-    /// Receives the slot or the refusal.
-    tx: Sender<Result<Slot, Code>>,
-    /// Servers that failed this request.
-    avoid: Avoid,
-}
-
 /// State behind the lock.
 struct Inner {
     /// Slots that this entry VM may use.
     ledger: Ledger,
     /// Per service.
     services: BTreeMap<ServiceId, ServiceState>,
+    /// Ends the requests on borrowed slots.
+    cancels: BTreeMap<Permit, Sender<()>>,
     /// Randomness of the choice.
     rng: fastrand::Rng,
 }
@@ -76,24 +48,6 @@
     inner: Mutex<Inner>,
 }
 
-/// A slot of a backend server, held until it is dropped.
-pub struct Slot {
-    /// Where it came from.
-    admission: Arc<Admission>,
-    /// Permit of the ledger.
-    permit: Permit,
-    /// Service.
-    service: ServiceId,
-    /// Class of the request.
-    class: Class,
-    /// Address of the server.
-    pub address: SocketAddr,
-    /// When it was taken.
-    started: Duration,
-    /// How the attempt ended, with its latency.
-    ended: Option<(Outcome, Duration)>,
-}
-
 impl Admission {
     /// Creates an admission without servers.
     pub fn new(clock: Clock, rng: fastrand::Rng) -> Arc<Self> {
@@ -101,6 +55,7 @@
         let inner = Inner {
             ledger,
             services: BTreeMap::new(),
+            cancels: BTreeMap::new(),
             rng,
         };
         Arc::new(Admission {
@@ -120,7 +75,7 @@
             let state = inner
                 .services
                 .entry(service.id.clone())
-                .or_insert_with(|| ServiceState::new(cfg.rules()));
+                .or_insert_with(|| ServiceState::new(service.class, cfg.rules()));
             state.adopt(cfg, &service.id, domain);
         }
     }
@@ -165,7 +120,6 @@
         let mut expired = Vec::new();
         {
             let mut inner = self.lock();
-            inner.ledger.tick(now);
             for state in inner.services.values_mut() {
                 expired.extend(state.queue.expire(now));
             }
@@ -253,6 +207,7 @@
         let Inner {
             ledger,
             services,
+            cancels,
             rng,
         } = &mut *inner;
         let state = services.get_mut(&meta.service)?;
@@ -260,12 +215,13 @@
         if slots.in_use >= slots.total || !state.queue.is_empty() {
             return None;
         }
-        let server = state.choose(now, ledger, avoid, meta.class, rng)?;
+        let server = state.choose(now, ledger, avoid, rng)?;
         if avoid.contains(&server) || !Hedge::take(meta.class, &mut state.budget) {
             return None;
         }
         let permit = ledger.acquire(now, &server, meta.class).ok()?;
-        Some(state.start(self.clone(), now, permit, &meta.service, meta.class))
+        let cancelled = watch(cancels, &permit);
+        Some(state.start(self.clone(), now, permit, &meta.service, cancelled))
     }
 
     /// Returns the time after which a request is hedged.
@@ -317,6 +273,7 @@
         {
             let mut inner = self.lock();
             inner.ledger.release(&slot.permit);
+            inner.cancels.remove(&slot.permit);
             if let Some(state) = inner.services.get_mut(&slot.service) {
                 state.finish(now, slot);
             }
@@ -342,25 +299,23 @@
         let Inner {
             ledger,
             services,
+            cancels,
             rng,
         } = &mut *inner;
         let Some(state) = services.get_mut(service) else {
             return false;
         };
-        let no_avoid = Avoid::new();
-        if state
-            .choose(now, ledger, &no_avoid, Class::Idempotent, rng)
-            .is_none()
-        {
+        if state.choose(now, ledger, &Avoid::new(), rng).is_none() {
             return false;
         }
         let popped = state.queue.pop(now, state.slots(now, ledger));
         let started = popped.next.map(|entry| {
-            let server = state
-                .choose(now, ledger, &entry.item.avoid, entry.class, rng)
-                .or_else(|| state.choose(now, ledger, &no_avoid, Class::Idempotent, rng));
+            let server = state.choose(now, ledger, &entry.item.avoid, rng);
             let permit = server.and_then(|id| ledger.acquire(now, &id, entry.class).ok());
-            let slot = permit.map(|p| state.start(self.clone(), now, p, service, entry.class));
+            let slot = permit.map(|permit| {
+                let cancelled = watch(cancels, &permit);
+                state.start(self.clone(), now, permit, service, cancelled)
+            });
             (entry.item.tx, slot.ok_or(Code::NoServer))
         });
         drop(inner);
@@ -378,148 +333,11 @@
     }
 }
 
-impl ServerState {
-    fn effective(&self) -> State {
-        if self.drained || self.listed_leaving {
-            State::Leaving
-        } else {
-            self.reported
-        }
-    }
-}
-
-impl ServiceState {
-    fn new(rules: &config::Rules) -> Self {
-        ServiceState {
-            queue: Queue::new(limits::queue::Settings {
-                deferrable_slot_share: rules.deferrable_slot_share,
-                ..limits::queue::Settings::default()
-            }),
-            selector: Selector::new(routing::server::Settings::default()),
-            servers: BTreeMap::new(),
-            deferrable: 0,
-            budget: Budget::new(rules.retry_budget),
-            hedge: Hedge::new(hedge::Settings::default()),
-        }
-    }
-
-    fn adopt(&mut self, cfg: &InForce, service: &ServiceId, domain: &str) {
-        self.budget.set_share(cfg.rules().retry_budget);
-        let mut servers = BTreeMap::new();
-        for server in cfg.servers_of(service, domain) {
-            let known = self.servers.get(&server.id);
-            let state = ServerState {
-                address: server.address,
-                // The work of a drained domain leaves under the cap of a shift, not at once.
-                drained: cfg.is_server_drained(&server.id),
-                listed_leaving: known.is_some_and(|s| s.listed_leaving),
-                reported: known.map_or(State::Ready, |s| s.reported),
-            };
-            servers.insert(server.id.clone(), state);
-        }
-        self.servers = servers;
-        self.selector.set_servers(self.servers.keys().cloned());
-        for (id, server) in &self.servers {
-            self.selector.set_state(id, server.effective());
-        }
-    }
-
-    /// Sums the slots of the servers that take new work.
-    fn slots(&self, now: Duration, ledger: &Ledger) -> Slots {
-        let mut slots = Slots {
-            deferrable: self.deferrable,
-            ..Slots::default()
-        };
-        for (id, server) in &self.servers {
-            let usage = ledger.usage(now, id);
-            let in_use = usage.own + usage.borrowed_in_use;
-            slots.in_use += in_use;
-            if server.effective() == State::Ready {
-                slots.total += in_use + usage.free();
-            } else {
-                slots.total += in_use;
-            }
-        }
-        slots
-    }
-
-    fn choose(
-        &self,
-        now: Duration,
-        ledger: &Ledger,
-        avoid: &Avoid,
-        class: Class,
-        rng: &mut fastrand::Rng,
-    ) -> Option<ServerId> {
-        let share = |id: &ServerId| {
-            let usage = ledger.usage(now, id);
-            Share {
-                slots: usage.part + usage.borrowed,
-                free: usage.free(),
-            }
-        };
-        // Only work that may run again is risked on a server under suspicion.
-        self.selector
-            .choose(now, share, avoid, class != Class::Binding, rng)
-    }
-
-    fn start(
-        &mut self,
-        admission: Arc<Admission>,
-        now: Duration,
-        permit: Permit,
-        service: &ServiceId,
-        class: Class,
-    ) -> Slot {
-        self.selector.started(now, &permit.server);
-        if class == Class::Deferrable {
-            self.deferrable += 1;
-        }
-        let address = self.servers[&permit.server].address;
-        Slot {
-            admission,
-            permit,
-            service: service.clone(),
-            class,
-            address,
-            started: now,
-            ended: None,
-        }
-    }
-
-    fn finish(&mut self, now: Duration, slot: &Slot) {
-        if slot.class == Class::Deferrable {
-            self.deferrable = self.deferrable.saturating_sub(1);
-        }
-        let held = now.saturating_sub(slot.started);
-        let (outcome, latency) = slot.ended.unwrap_or((Outcome::Cancelled, held));
-        self.selector
-            .finished(now, &slot.permit.server, latency, outcome);
-        if outcome == Outcome::Answered {
-            self.queue.record_service_time(slot.class, held);
-            self.hedge.record(now, latency);
-        }
-    }
-}
-
-impl Slot {
-    /// Returns the server.
-    pub fn server(&self) -> &ServerId {
-        &self.permit.server
-    }
-
-    /// Records how the attempt ended; without it the attempt counts as cancelled.
-    pub fn end(&mut self, outcome: Outcome) {
-        let now = self.admission.clock.uptime();
-        self.ended = Some((outcome, now.saturating_sub(self.started)));
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        let admission = self.admission.clone();
-        admission.release(self);
-    }
+/// Registers a permit to be cancelled when the lease of its slot ends.
+fn watch(cancels: &mut BTreeMap<Permit, Sender<()>>, permit: &Permit) -> Receiver<()> {
+    let (tx, rx) = async_channel::bounded(1);
+    cancels.insert(permit.clone(), tx);
+    rx
 }
 
 fn refuse(entries: impl IntoIterator<Item = Entry<Waiter>>, code: Code) {
--- /dev/null
+++ b/components/entry/src/admission/loans.rs
@@ -0,0 +1,104 @@
+//! Slots lent to and borrowed from the other entry VMs of the domain.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::{Class, ServerId, ServiceId};
+use limits::slots::{Grant, LoanRequest, Renewal, WireGrant};
+
+use super::Admission;
+
+/// Slots lent at once.
+const LENT_SLOTS: u32 = 1;
+
+impl Admission {
+    /// Tells whether requests of a service wait that a borrowed slot could serve.
+    pub fn wants_slot(&self, service: &ServiceId) -> bool {
+        let inner = self.lock();
+        let state = inner.services.get(service);
+        state.is_some_and(|s| s.class != Class::Binding && !s.queue.is_empty())
+    }
+
+    /// Lends a slot of the server with the most idle ones, but not the last idle slot.
+    pub fn lend(&self, service: &ServiceId) -> Option<(ServerId, WireGrant)> {
+        let now = self.clock.uptime();
+        let mut inner = self.lock();
+        let super::Inner {
+            ledger, services, ..
+        } = &mut *inner;
+        let state = services.get(service)?;
+        if !state.queue.is_empty() {
+            return None;
+        }
+        let free = |id: &ServerId| ledger.usage(now, id).free_own();
+        let total: u32 = state.servers.keys().map(free).sum();
+        let usable = state
+            .servers
+            .keys()
+            .filter(|id| !state.selector.is_suspended(id));
+        let server = usable
+            .max_by_key(|id| free(id))
+            .filter(|_| total > 1)?
+            .clone();
+        let grant = ledger.lend(now, &server, LENT_SLOTS, 0).ok()?;
+        Some((server, WireGrant::from(grant)))
+    }
+
+    /// Takes a lent slot; tells whether its lease still runs.
+    pub fn borrow(
+        self: &Arc<Self>,
+        service: &ServiceId,
+        request: &LoanRequest,
+        grant: Grant,
+    ) -> bool {
+        let now = self.clock.uptime();
+        let taken = self.lock().ledger.borrow(now, request, grant).is_ok();
+        self.pump(service);
+        taken
+    }
+
+    /// Returns the loans to extend and those to give back; cancels what runs on ended ones.
+    pub fn tend_loans(self: &Arc<Self>) -> (Vec<Renewal>, Vec<(ServerId, u64)>) {
+        let now = self.clock.uptime();
+        let mut inner = self.lock();
+        for permit in inner.ledger.tick(now) {
+            // Dropping the sender closes the channel, which ends the request.
+            inner.cancels.remove(&permit);
+        }
+        let is_waiting = |s: &super::service::ServiceState| !s.queue.is_empty();
+        let idle = if inner.services.values().any(is_waiting) {
+            Vec::new()
+        } else {
+            inner.ledger.give_back()
+        };
+        (inner.ledger.renewals(now), idle)
+    }
+
+    /// Tells whether a loan from a lender still runs here.
+    pub fn has_loan(&self, server: &ServerId, loan: u64) -> bool {
+        self.lock().ledger.has_loan(server, loan)
+    }
+
+    /// Records that a lender has extended a loan; `sent` is when that was asked for.
+    pub fn extended(&self, renewal: &Renewal, sent: Duration) {
+        // The loan may have ended on this side meanwhile.
+        let _ = self.lock().ledger.extended(renewal.key, sent);
+    }
+
+    /// Extends a loan as its lender; tells whether it still ran.
+    pub fn extend_loan(&self, loan: u64) -> bool {
+        let now = self.clock.uptime();
+        self.lock().ledger.extend(now, loan).is_ok()
+    }
+
+    /// Takes loans back as their lender.
+    pub fn take_back(self: &Arc<Self>, loans: &[u64]) {
+        {
+            let mut inner = self.lock();
+            for loan in loans {
+                inner.ledger.take_back(*loan);
+            }
+        }
+        self.pump_all();
+    }
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod in_force;
 mod links;
 mod listeners;
+mod loans;
 mod look_up;
 mod node;
 mod operator;
@@ -124,6 +125,8 @@
     runtime::spawn(health::run(n(), timer.subscribe(SLOW_PERIOD))).detach();
     runtime::spawn(claims::run(n())).detach();
     runtime::spawn(links::run(n())).detach();
+    runtime::spawn(loans::ask(n())).detach();
+    runtime::spawn(loans::tend(n(), timer.subscribe(loans::PERIOD))).detach();
     runtime::spawn(vm_list::run(n(), timer.subscribe(SLOW_PERIOD))).detach();
 }
 
--- a/components/entry/src/listeners.rs
+++ b/components/entry/src/listeners.rs
@@ -10,7 +10,7 @@
 use crate::agents::{configuration, digests, heartbeats};
 use crate::node::Node;
 use crate::request::{Meta, Outgoing};
-use crate::{links, look_up, peer, relay, steer, work};
+use crate::{links, loans, look_up, peer, relay, steer, work};
 
 /// Path of look-ups.
 pub const LOOK_UP_PATH: &str = "/lookup";
@@ -66,6 +66,10 @@
             }
             Err(refusal) => refusal.response(),
         },
+        loans::PATH => match read_message(&node, &mut req).await {
+            Ok(message) => http::peer::answer(&loans::answer(&node, &message)),
+            Err(refusal) => refusal.response(),
+        },
         digests::PATH => match read_message::<digests::Question>(&node, &mut req).await {
             Ok(_) => http::peer::answer(&digests::own(&node)),
             Err(refusal) => refusal.response(),
--- a/components/entry/src/node.rs
+++ b/components/entry/src/node.rs
@@ -22,6 +22,7 @@
 use crate::error::{Error, Result};
 use crate::in_force::InForce;
 use crate::links::Links;
+use crate::loans::Loans;
 use crate::reach::{self, Reachable};
 use crate::split::own_parts;
 use crate::steer::Steers;
@@ -47,6 +48,8 @@
     pub steers: Steers,
     /// Free slots per service that each peer has reported.
     free: Mutex<BTreeMap<EntryVmId, BTreeMap<ServiceId, u32>>>,
+    /// Slots borrowed from peers.
+    pub loans: Loans,
     /// Links to other regions.
     pub links: Links,
     /// Claims of caller-supplied keys.
@@ -82,6 +85,7 @@
             }),
             reachable,
             steers: Steers::default(),
+            loans: Loans::default(),
             links: Links::default(),
             free: Mutex::new(BTreeMap::new()),
             claims: Claims::new(identity.clone()),
@@ -211,6 +215,21 @@
         known.insert(vm.clone(), free);
     }
 
+    /// Returns the peer address of a random entry VM that has reported at least two free slots.
+    pub fn peer_with_free_slots(&self, service: &ServiceId) -> Option<SocketAddr> {
+        let cfg = self.in_force()?;
+        let heard = self.lock_membership().look_up_candidates(self.now());
+        let known = self.free.lock().unwrap_or_else(PoisonError::into_inner);
+        let idle = |free: &BTreeMap<ServiceId, u32>| free.get(service).is_some_and(|n| *n > 1);
+        let peers: Vec<&EntryVmId> = known
+            .iter()
+            .filter(|(vm, free)| heard.contains(vm) && idle(free))
+            .map(|(vm, _)| vm)
+            .collect();
+        let peer = fastrand::Rng::new().choice(&peers).copied()?;
+        cfg.entry_vm(peer).map(|vm| vm.peer_address)
+    }
+
     /// Returns the free slots per service of the whole domain: the own ones and those of peers
     /// that are heard.
     pub fn domain_free_slots(&self) -> BTreeMap<ServiceId, u32> {
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
-use futures_lite::{AsyncBufRead, AsyncRead, FutureExt, io};
+use async_channel::Receiver;
+use futures_lite::{AsyncBufRead, AsyncRead, FutureExt, Stream, io};
 use http::codes::{self, Code};
 use http::{Body, Response};
 use limits::budget::{Backoff, Reason};
@@ -33,7 +34,7 @@
     let mut avoid = Avoid::new();
     let mut retries = 0;
     loop {
-        let slot = node.admission.acquire(meta, avoid.clone()).await?;
+        let slot = acquire(node, meta, &avoid).await?;
         let Tried { attempt, mut slot } = try_hedged(node, meta, outgoing, slot, &mut avoid).await;
         let (reason, code) = match attempt {
             Attempt::Answer(res) => return Ok(pass_on(*res, slot)),
@@ -63,6 +64,17 @@
     }
 }
 
+/// Waits for a slot; asks the peers for one when it is not free at once.
+async fn acquire(node: &Arc<Node>, meta: &Meta, avoid: &Avoid) -> Result<Slot, Code> {
+    let waiting = node.admission.acquire(meta, avoid.clone());
+    let ask = async {
+        futures_lite::future::yield_now().await;
+        node.loans.want(&meta.service);
+        futures_lite::future::pending().await
+    };
+    waiting.or(ask).await
+}
+
 /// Tries one server, and a second one when the first is slow; the loser is cancelled.
 async fn try_hedged(
     node: &Arc<Node>,
@@ -107,7 +119,15 @@
         max_body: node.settings.max_response_body,
         buffered: BUFFERED_ANSWER,
     };
-    let attempt = exchange::send_on(tcp, outgoing.build(remaining), remaining, limits).await;
+    let exchange = exchange::send_on(tcp, outgoing.build(remaining), remaining, limits);
+    let cancelled = slot.cancelled.clone();
+    let lease_ended = async {
+        // The channel only closes.
+        let _ = cancelled.recv().await;
+        metrics::counter!("loans_total", "result" => "ended").increment(1);
+        Attempt::Unknown(Code::ConnectionLost)
+    };
+    let attempt = exchange.or(lease_ended).await;
     if matches!(attempt, Attempt::Answer(_)) {
         slot.end(Outcome::Answered);
     }
@@ -120,8 +140,12 @@
     if len.is_some_and(|n| n as u64 <= BUFFERED_ANSWER) {
         return res;
     }
-    let body = res.take_body();
-    res.set_body(Body::from_reader(HeldBody { body, _slot: slot }, len));
+    let held = HeldBody {
+        body: res.take_body(),
+        lease_end: Box::pin(slot.cancelled.clone()),
+        _slot: Box::new(slot),
+    };
+    res.set_body(Body::from_reader(held, len));
     res
 }
 
@@ -129,8 +153,20 @@
 struct HeldBody {
     /// Body.
     body: Body,
+    /// Closes when the slot was borrowed and its lease ends.
+    lease_end: Pin<Box<Receiver<()>>>,
     /// Slot of the server that sends it.
-    _slot: Slot,
+    _slot: Box<Slot>,
+}
+
+impl HeldBody {
+    /// Fails when the lease of the slot has ended.
+    fn check_lease(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        if self.lease_end.as_mut().poll_next(cx).is_ready() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
 }
 
 impl AsyncRead for HeldBody {
@@ -139,13 +175,16 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        self.check_lease(cx)?;
         Pin::new(&mut self.body).poll_read(cx, buf)
     }
 }
 
 impl AsyncBufRead for HeldBody {
     fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
-        Pin::new(&mut self.get_mut().body).poll_fill_buf(cx)
+        let this = self.get_mut();
+        this.check_lease(cx)?;
+        Pin::new(&mut this.body).poll_fill_buf(cx)
     }
 
     fn consume(mut self: Pin<&mut Self>, amt: usize) {
--- a/components/limits/src/slots/ledger.rs
+++ b/components/limits/src/slots/ledger.rs
@@ -446,6 +446,12 @@
         Ok(key)
     }
 
+    /// Whether a loan from a lender still runs at this borrower.
+    pub fn has_loan(&self, server: &ServerId, loan: u64) -> bool {
+        let mut loans = self.borrowed.values();
+        loans.any(|b| b.loan == loan && b.server == *server)
+    }
+
     /// Loans in use that should be extended, because less than half of the term is left.
     pub fn renewals(&self, now: Duration) -> Vec<Renewal> {
         let half = self.settings.term / 2;
