--- a/components/deployment/src/machines.rs
+++ b/components/deployment/src/machines.rs
@@ -47,7 +47,7 @@
         };
         let server = Server::new(ServerSettings {
             name: known.id.clone(),
-            slots: known.slots as usize,
+            slots: known.slots as usize + options.spare_slots,
             queue: options.server_queue,
             connections: known.connections as usize,
             service_time: options.service_time * factor,
--- a/components/deployment/src/running.rs
+++ b/components/deployment/src/running.rs
@@ -37,6 +37,9 @@
     pub deferrable_factor: u32,
     /// Requests that wait for a slot at a server; further ones are shed.
     pub server_queue: usize,
+    /// Slots that a server has beyond the configured ones, so that an overload shows in its
+    /// execution log instead of waiting in its queue.
+    pub spare_slots: usize,
     /// Lag of the VM list.
     pub vm_list_lag: Duration,
     /// Where the entry VMs run.
@@ -52,6 +55,7 @@
             service_time: Duration::from_millis(5),
             deferrable_factor: 10,
             server_queue: 3,
+            spare_slots: 8,
             vm_list_lag: Duration::from_millis(200),
             place: Place::Inside,
             seed: 1,
