Compare region-loss with a region lost long before

Change: figures that compare the same requests with a run in which the region was lost at 10 s. No goal changes.

--- a/components/load/src/experiment/region_loss.rs
+++ b/components/load/src/experiment/region_loss.rs
@@ -30,6 +30,20 @@
     let plain = run(Policy::Plain, Class::Idempotent);
     let steered = run(Policy::Steered, Class::Idempotent);
     let binding = run(Policy::Steered, Class::Binding);
+    // The same requests with the region lost long before: what "recovered" looks like.
+    let long_lost = |class| {
+        let scenario = scenario(seed, Policy::Steered, class);
+        let regions = scenario.regions.clone().map(|r| Regions {
+            loss: Some((0, Duration::from_secs(10))),
+            ..r
+        });
+        run::run(Scenario {
+            regions,
+            ..scenario
+        })
+    };
+    let settled = long_lost(Class::Idempotent);
+    let binding_settled = long_lost(Class::Binding);
     let mut report = Report::new("region-loss", seed);
     for (name, stats) in [
         ("baseline", &plain),
@@ -43,6 +57,17 @@
             report.group(&format!("{name}-{at}"), &stats.phase(phase));
         }
     }
+    for (name, lost_now, lost_before) in [
+        ("p99_5s_after_to_lost_long_before", &steered, &settled),
+        (
+            "binding_p99_5s_after_to_lost_long_before",
+            &binding,
+            &binding_settled,
+        ),
+    ] {
+        let ratio = p99(lost_now, RECOVERED) / p99(lost_before, RECOVERED);
+        report.figure(name, ratio);
+    }
     let unknown = |stats: &Stats| stats.groups.values().map(|g| g.unknown).sum::<u64>() as f64;
     report.figure("binding_outcome_unknown", unknown(&binding));
     report.figure("idempotent_outcome_unknown", unknown(&steered));
