Show binding work in slow-servers

Cause: binding work cannot be hedged and borrows no slots, so hidden slowdowns hit it harder. No goal changes.

--- a/components/load/src/experiment/slow_servers.rs
+++ b/components/load/src/experiment/slow_servers.rs
@@ -12,12 +12,16 @@
 
 /// Runs the experiment.
 pub fn run(seed: u64) -> Report {
-    let run = |policy, slow| run::run(scenario(seed, policy, slow));
+    let run = |policy, slow| run::run(scenario(seed, policy, Class::Idempotent, slow));
+    let binding = |policy, slow| run::run(scenario(seed, policy, Class::Binding, slow));
     let plain_even = run(Policy::Plain, false);
     let plain = run(Policy::Plain, true);
     let even = run(Policy::Steered, false);
     let steered = run(Policy::Steered, true);
     let breaker = run(Policy::Breaker, true);
+    let binding_even = binding(Policy::Steered, false);
+    let binding_slow = binding(Policy::Steered, true);
+    let binding_breaker = binding(Policy::Breaker, true);
     let mut report = Report::new("slow-servers", seed);
     for (name, stats) in [
         ("baseline-none-slowed", &plain_even),
@@ -25,6 +29,9 @@
         ("mechanism-none-slowed", &even),
         ("mechanism", &steered),
         ("breaker", &breaker),
+        ("binding-none-slowed", &binding_even),
+        ("binding", &binding_slow),
+        ("binding-breaker", &binding_breaker),
     ] {
         report.group(name, &stats.group(0, |_| true));
         report.lines.push(format!(
@@ -36,6 +43,9 @@
     }
     report.compare("p99_ms", p99(&plain), p99(&steered));
     report.compare("p99_ms_breaker", p99(&breaker), p99(&steered));
+    // Binding work cannot be hedged, so only the choice of server helps it.
+    let binding_ratio = p99(&binding_slow) / p99(&binding_even);
+    report.figure("binding_p99_to_none_slowed", binding_ratio);
     report.goals = vec![
         Goal::at_most("p99-to-none-slowed", p99(&steered) / p99(&even), 1.5),
         Goal::at_least("baseline-p99-to-p99", p99(&plain) / p99(&steered), 3.0),
@@ -54,9 +64,9 @@
     stats.group(0, |_| true).quantile_ms(0.99)
 }
 
-fn scenario(seed: u64, policy: Policy, slow: bool) -> Scenario {
+fn scenario(seed: u64, policy: Policy, class: Class, slow: bool) -> Scenario {
     let mut service = Service {
-        class: Class::Idempotent,
+        class,
         vms: vec![0, 1],
         servers: 12,
         slots: 3,
