Suspend at three times the median, averaged over two seconds

Cause: without hedges, most suspensions hit servers that are not slowed and cost slots. Change: suspend_factor 3.0 (was 2.5), average_time 2 s (was 1 s). What remains for binding work is queueing: the ten other servers are at 84%, and each entry VM has only its own part.

--- a/components/routing/src/server.rs
+++ b/components/routing/src/server.rs
@@ -44,9 +44,9 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            average_time: Duration::from_secs(1),
+            average_time: Duration::from_secs(2),
             peak_time: Duration::from_millis(200),
-            suspend_factor: 2.5,
+            suspend_factor: 3.0,
             resume_factor: 1.5,
             latency_weight: 0.5,
             max_suspended: 0.5,
