Count refusals by a server towards its suspension

Cause: a server that refuses at once has few requests in flight, so the choice by in-flight requests sends it more and more. Change: max_failures counts refusals as well. Tests for this and for taking over the part of a gone entry VM.

--- a/components/limits/tests/slots.rs
+++ b/components/limits/tests/slots.rs
@@ -104,6 +104,24 @@
     assert_eq!(b.usage(ms(0), &id()).part, 2);
 }
 
+/// Guards against the slots of a gone VM that stay unused, against their use while a peer may
+/// still use them under an older configuration, and against a part that is kept when the VM is
+/// back.
+#[test]
+fn survivors_take_over_the_part_of_a_gone_vm() {
+    let part = |n| Parts::from([(id(), n)]);
+    let mut a = ledger(1);
+    a.reassign(part(3));
+    assert_eq!(a.usage(ms(0), &id()).part, 3);
+    a.reassign(part(1));
+    assert_eq!(a.usage(ms(0), &id()).part, 1);
+    a.adopt(2, part(2));
+    a.reassign(part(3));
+    assert_eq!(a.usage(ms(0), &id()).part, 1);
+    a.peers_settled(2);
+    assert_eq!(a.usage(ms(0), &id()).part, 3);
+}
+
 /// Guards against an entry VM that was paused, was declared gone, and continues to send.
 #[test]
 fn a_paused_holder_starts_nothing_until_confirmed() {
--- a/components/routing/src/server.rs
+++ b/components/routing/src/server.rs
@@ -35,7 +35,7 @@
     pub trial_interval: Duration,
     /// Longest time between trial requests.
     pub max_trial_interval: Duration,
-    /// Failures in a row after which a server is suspended.
+    /// Failures and refusals in a row after which a server is suspended.
     pub max_failures: u32,
     /// Age at which a load report has lost half of its weight.
     pub hint_half_life: Duration,
@@ -337,7 +337,11 @@
                 server.counts.failed += 1;
                 server.failures += 1;
             }
-            Outcome::Shed => server.counts.shed += 1,
+            // A server that refuses quickly has few requests in flight and would attract more.
+            Outcome::Shed => {
+                server.counts.shed += 1;
+                server.failures += 1;
+            }
             Outcome::Cancelled => {}
         }
         if matches!(outcome, Outcome::Answered | Outcome::Cancelled) {
--- a/components/routing/tests/server.rs
+++ b/components/routing/tests/server.rs
@@ -128,6 +128,28 @@
     assert!(choose(&selector, ms(200), &mut rng).is_some());
 }
 
+/// Guards against a server that refuses everything at once and thereby looks idle.
+#[test]
+fn quick_refusals_attract_no_work() {
+    let mut selector = selector(12);
+    let mut rng = fastrand::Rng::with_seed(8);
+    let shedding = ids(12)[5].clone();
+    let mut now = warm(&mut selector, ms(0), 30, &[]);
+    for _ in 0..500 {
+        now += ms(2);
+        let id = choose(&selector, now, &mut rng).expect("a server is free");
+        selector.started(now, &id);
+        let outcome = if id == shedding {
+            Outcome::Shed
+        } else {
+            Outcome::Answered
+        };
+        selector.finished(now, &id, ms(50), outcome);
+    }
+    let counts = selector.counts(&shedding);
+    assert!((1..=5).contains(&counts.shed), "{counts:?}");
+}
+
 /// Guards against new work at servers that leave or start.
 #[test]
 fn states_are_honoured() {
