Do not start entries that cannot end before their deadline

Cause: 22% to 24% of the archive searches were answered after their deadline; they started with less time left than an average search takes. Change: an entry that waited is dropped once the average service time of its class does not fit before its deadline. Entries that did not wait are still tried, so that a wrong average corrects itself (test entries_that_waited_too_long_do_not_start).

--- a/components/limits/src/queue.rs
+++ b/components/limits/src/queue.rs
@@ -15,6 +15,9 @@
 /// Houses without entries that a class keeps; callers choose the names, so there must be a bound.
 const MAX_IDLE_HOUSES: usize = 256;
 
+/// Waits up to this are the time between queueing and starting a request at a free slot.
+const MIN_WAIT: Duration = Duration::from_millis(10);
+
 /// Weight of a new sample in the average service time.
 const SERVICE_TIME_WEIGHT: f64 = 0.05;
 
@@ -67,7 +70,7 @@
     Full,
     /// The expected wait does not leave enough time before the deadline.
     DeadlineTooNear,
-    /// The deadline passed while the request waited.
+    /// The deadline passed, or came too near, while the request waited.
     Expired,
     /// A request of a higher class, or of a house with fewer waiting requests, took its place.
     Displaced,
@@ -87,16 +90,35 @@
 /// Result of a [`Queue::pop`].
 #[derive(Debug)]
 pub struct Popped<T> {
-    /// Entries found expired on the way; to be answered as not run.
+    /// Entries found too late on the way; to be answered as not run.
     pub expired: Vec<Entry<T>>,
     /// The entry to start.
     pub next: Option<Entry<T>>,
 }
 
+/// An entry and when it was queued.
+#[derive(Debug)]
+struct Waiting<T> {
+    entry: Entry<T>,
+    since: Duration,
+}
+
+impl<T> Waiting<T> {
+    /// Too late to start, given the average service time of its class.
+    ///
+    /// The average counts only for an entry that had to wait. Others are tried even if they look
+    /// too late, so that a wrong average is corrected by new samples.
+    fn is_late(&self, now: Duration, mean_secs: f64) -> bool {
+        let waited = now.saturating_sub(self.since) > MIN_WAIT;
+        let needed = if waited { mean_secs } else { 0.0 };
+        self.entry.deadline <= now + Duration::from_secs_f64(needed)
+    }
+}
+
 /// Waiting entries of one house in one class.
 #[derive(Debug)]
 struct House<T> {
-    entries: VecDeque<Entry<T>>,
+    entries: VecDeque<Waiting<T>>,
     deficit: u32,
     /// The house has received its quantum for the current visit.
     visited: bool,
@@ -130,7 +152,7 @@
         self.houses.get(house).map_or(0, |h| h.entries.len())
     }
 
-    fn push(&mut self, entry: Entry<T>) {
+    fn push(&mut self, since: Duration, entry: Entry<T>) {
         let house = self.houses.entry(entry.house.clone()).or_insert_with(|| {
             self.fresh.push_back(entry.house.clone());
             House {
@@ -139,12 +161,12 @@
                 visited: false,
             }
         });
-        house.entries.push_back(entry);
+        house.entries.push_back(Waiting { entry, since });
         self.len += 1;
     }
 
     /// Takes the next entry by deficit round robin.
-    fn pop(&mut self, quantum: u32) -> Option<Entry<T>> {
+    fn pop(&mut self, quantum: u32) -> Option<Waiting<T>> {
         while self.len > 0 {
             let fresh = self.fresh.front().cloned();
             let id = fresh.clone().or_else(|| self.turns.front().cloned())?;
@@ -156,13 +178,13 @@
             if house
                 .entries
                 .front()
-                .is_some_and(|e| e.cost <= house.deficit)
+                .is_some_and(|w| w.entry.cost <= house.deficit)
             {
-                let entry = house.entries.pop_front()?;
-                house.deficit -= entry.cost;
+                let waiting = house.entries.pop_front()?;
+                house.deficit -= waiting.entry.cost;
                 self.len -= 1;
                 self.clear_if_empty();
-                return Some(entry);
+                return Some(waiting);
             }
             self.end_turn(&id, fresh.is_some());
         }
@@ -203,9 +225,9 @@
     /// Removes the newest entry of the house with the most waiting entries.
     fn pop_longest(&mut self) -> Option<Entry<T>> {
         let (id, _) = self.longest()?;
-        let entry = self.houses.get_mut(&id)?.entries.pop_back();
-        self.len -= usize::from(entry.is_some());
-        entry
+        let waiting = self.houses.get_mut(&id)?.entries.pop_back()?;
+        self.len -= 1;
+        Some(waiting.entry)
     }
 
     fn longest(&self) -> Option<(HouseId, usize)> {
@@ -213,15 +235,16 @@
         longest.map(|(id, h)| (id.clone(), h.entries.len()))
     }
 
-    fn expire(&mut self, now: Duration, expired: &mut Vec<Entry<T>>) {
+    fn expire(&mut self, now: Duration, mean_secs: f64, expired: &mut Vec<Entry<T>>) {
         for house in self.houses.values_mut() {
-            let (late, kept) = std::mem::take(&mut house.entries)
+            let (late, kept): (VecDeque<_>, _) = std::mem::take(&mut house.entries)
                 .into_iter()
-                .partition(|e| e.deadline <= now);
+                .partition(|w| w.is_late(now, mean_secs));
             house.entries = kept;
-            self.len -= VecDeque::len(&late);
-            expired.extend(late);
+            self.len -= late.len();
+            expired.extend(late.into_iter().map(|w| w.entry));
         }
+        self.clear_if_empty();
     }
 }
 
@@ -321,7 +344,7 @@
                 None => return Err((Refusal::Full, entry)),
             }
         }
-        self.lanes[entry.class as usize].push(entry);
+        self.lanes[entry.class as usize].push(now, entry);
         Ok(displaced)
     }
 
@@ -351,17 +374,17 @@
     pub fn pop(&mut self, now: Duration, slots: Slots) -> Popped<T> {
         let mut expired = Vec::new();
         while let Some(rank) = self.next_lane(slots) {
-            let Some(entry) = self.lanes[rank].pop(self.settings.quantum) else {
+            let Some(waiting) = self.lanes[rank].pop(self.settings.quantum) else {
                 break;
             };
-            if entry.deadline <= now {
-                expired.push(entry);
+            if waiting.is_late(now, self.mean_secs[rank].unwrap_or(0.0)) {
+                expired.push(waiting.entry);
                 continue;
             }
             self.count_pass(rank);
             return Popped {
                 expired,
-                next: Some(entry),
+                next: Some(waiting.entry),
             };
         }
         Popped {
@@ -370,11 +393,11 @@
         }
     }
 
-    /// Removes all entries whose deadline has passed; each was not run.
+    /// Removes all entries that cannot meet their deadline any more; each was not run.
     pub fn expire(&mut self, now: Duration) -> Vec<Entry<T>> {
         let mut expired = Vec::new();
-        for lane in &mut self.lanes {
-            lane.expire(now, &mut expired);
+        for (lane, mean) in self.lanes.iter_mut().zip(self.mean_secs) {
+            lane.expire(now, mean.unwrap_or(0.0), &mut expired);
         }
         expired
     }
--- a/components/limits/tests/queue.rs
+++ b/components/limits/tests/queue.rs
@@ -188,6 +188,26 @@
     assert_eq!(late.map_err(|(why, _)| why), Err(Refusal::Expired));
 }
 
+/// Guards against starts that cannot end in time, and against an average that was too high once
+/// and then keeps every request out.
+#[test]
+fn entries_that_waited_too_long_do_not_start() {
+    let mut q = queue(100);
+    q.record_service_time(Class::Idempotent, Duration::from_secs(3));
+    let at = |secs, item| Entry {
+        deadline: Duration::from_secs(secs),
+        ..entry(Class::Idempotent, "h", item)
+    };
+    push(&mut q, at(4, 0)).expect("room");
+    push(&mut q, at(9, 1)).expect("room");
+    let popped = q.pop(Duration::from_millis(1_001), FREE);
+    assert_eq!(popped.expired.len(), 1);
+    assert_eq!(popped.next.map(|e| e.item), Some(1));
+    // Free slots, so there is no wait: the request starts although 2 s look too short.
+    push(&mut q, at(2, 2)).expect("room");
+    assert_eq!(pop(&mut q).map(|e| e.item), Some(2));
+}
+
 fn class() -> impl Strategy<Value = Class> {
     prop_oneof![
         Just(Class::Binding),
