Make the adopted generation of the ledger optional

Cause: generation 0 could be adopted again and again, because 0 also meant none. Change: Option<Generation>.

--- a/components/limits/src/slots/ledger.rs
+++ b/components/limits/src/slots/ledger.rs
@@ -174,7 +174,8 @@
 #[derive(Debug)]
 pub struct Ledger {
     settings: Settings,
-    generation: Generation,
+    /// Newest adopted generation.
+    generation: Option<Generation>,
     /// Newest generation that all live peers have settled.
     in_force: Option<Generation>,
     /// Part under the newest configuration.
@@ -195,7 +196,7 @@
     pub fn new(settings: Settings, now: Duration) -> Self {
         Ledger {
             settings,
-            generation: 0,
+            generation: None,
             in_force: None,
             target: Parts::new(),
             parts: Parts::new(),
@@ -211,10 +212,10 @@
     /// Adopts the parts of a newer split. Reductions are in force at once; increases only after
     /// [`Ledger::peers_settled`], because a peer may still use the slots under its older split.
     pub fn adopt(&mut self, generation: Generation, target: Parts) {
-        if generation <= self.generation && generation != 0 {
+        if self.generation.is_some_and(|newest| generation <= newest) {
             return;
         }
-        self.generation = generation;
+        self.generation = Some(generation);
         let mut parts = target.clone();
         for (server, part) in &mut parts {
             *part = (*part).min(self.parts.get(server).copied().unwrap_or(0));
@@ -223,8 +224,8 @@
         self.target = target;
     }
 
-    /// Newest adopted split.
-    pub fn generation(&self) -> Generation {
+    /// Newest adopted generation.
+    pub fn generation(&self) -> Option<Generation> {
         self.generation
     }
 
@@ -240,9 +241,10 @@
         })
     }
 
-    /// All live peers have announced this generation as settled; increases come into force.
+    /// All live peers have announced this generation as settled, and count this VM; increases come
+    /// into force. A starting VM holds nothing before.
     pub fn peers_settled(&mut self, generation: Generation) {
-        if generation == self.generation {
+        if self.generation == Some(generation) {
             self.parts.clone_from(&self.target);
             self.in_force = Some(generation);
         }
@@ -257,7 +259,7 @@
             let Some(in_force) = self.parts.get_mut(server) else {
                 continue;
             };
-            if self.in_force == Some(self.generation) {
+            if self.in_force == self.generation {
                 *in_force += part.saturating_sub(old);
             }
             *in_force = (*in_force).min(*part);
