Measure real messages, records and checked configurations

Cause: docs/CAPACITY.md was worked out from stand-in structs, because membership, binding, http and the daemon did not exist yet. Change: heartbeats and digests are those of the daemon (entry::messages), signed by the key ring, and exchanged over real sockets through a forwarder that counts bytes; records are binding::Records; configurations are parsed with their checks.

--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -29,6 +29,12 @@
 use http::server::{ServerOptions, serve};
 use runtime::TimerService;
 
+/// Messages between entry VMs, for measurements and tests.
+pub mod messages {
+    pub use crate::agents::digests::{PATH as DIGEST_PATH, Question as DigestQuestion};
+    pub use crate::agents::heartbeats::{Message as HeartbeatMessage, PATH as HEARTBEAT_PATH};
+}
+
 pub use error::{Error, Result};
 pub use node::Node;
 pub use reach::Reachable;
--- a/components/load/src/capacity.rs
+++ b/components/load/src/capacity.rs
@@ -6,8 +6,10 @@
 mod blocks;
 mod configuration;
 mod fit;
+mod forwarder;
 mod memory;
 mod messages;
+mod process;
 mod records;
 mod steering;
 
@@ -17,6 +19,9 @@
 
 use fit::Fit;
 
+/// Executor threads of the measurements over sockets.
+const THREADS: usize = 3;
+
 /// Lines of the report and what the measurements share.
 pub(crate) struct Report<'a> {
     out: &'a mut dyn Write,
@@ -60,8 +65,8 @@
     blocks::measure(&mut r, maps)?;
     drop((records, configurations));
     configuration::measure(&mut r)?;
-    messages::measure(&mut r)?;
     steering::measure(&mut r)?;
+    runtime::block_on(THREADS, messages::measure(&mut r))?;
     let elapsed = started.elapsed().as_secs_f64();
     writeln!(out, "capacity seed={seed} elapsed_s={elapsed:.1}")
 }
--- a/components/load/src/capacity/configuration.rs
+++ b/components/load/src/capacity/configuration.rs
@@ -1,4 +1,4 @@
-//! Configuration objects: size, hash and parse time, memory.
+//! Configuration objects: size, time of hash and of parse with checks, memory.
 
 use std::io;
 use std::net::SocketAddr;
@@ -40,7 +40,7 @@
     let mut points = Vec::new();
     for &(vms, blocks) in sizes {
         let source = configuration(vms, blocks);
-        let text = serde_json::to_string(&source).expect("plain data");
+        let text = config::encode(&source);
         all.push(source);
         let before = memory::resident()?;
         all.extend((0..4).map(|_| parse(&text)));
@@ -75,7 +75,7 @@
     let (mut bytes, mut packed, mut times) = (Vec::new(), Vec::new(), Vec::new());
     for &(vms, blocks) in sizes {
         let configuration = configuration(vms, blocks);
-        let text = serde_json::to_string(&configuration).expect("plain data");
+        let text = config::encode(&configuration);
         let pack = rmp_serde::to_vec(&configuration).expect("plain data").len();
         let (hash_ms, parse_ms) = times_of(&text);
         let x = x((vms, blocks)) as f64;
@@ -103,19 +103,20 @@
     r.fit(&format!("configuration_parse_ms_by_{by}"), &times)
 }
 
-fn parse(text: &str) -> Configuration {
-    serde_json::from_str(text).expect("written by serde_json")
+/// Parses and checks, as a node does before it adopts a configuration.
+fn parse(text: &[u8]) -> Configuration {
+    config::parse_configuration(text).expect("a generated configuration passes the checks")
 }
 
 /// Milliseconds to hash and to parse.
-fn times_of(text: &str) -> (f64, f64) {
-    let hash = least(5, || blake3::hash(text.as_bytes()));
+fn times_of(text: &[u8]) -> (f64, f64) {
+    let hash = least(5, || config::object_name(text));
     let parse = least(5, || parse(text));
     (hash.as_secs_f64() * 1e3, parse.as_secs_f64() * 1e3)
 }
 
 /// A configuration of the target scale's shape.
-fn configuration(vms: usize, blocks: usize) -> Configuration {
+pub fn configuration(vms: usize, blocks: usize) -> Configuration {
     let address = |n: usize, port| {
         let bytes = (n as u32).to_be_bytes();
         SocketAddr::from(([10, bytes[1], bytes[2], bytes[3]], port))
--- a/components/load/src/capacity/messages.rs
+++ b/components/load/src/capacity/messages.rs
@@ -1,110 +1,149 @@
-//! Heartbeats and digests: bytes and processor time per message.
+//! Heartbeats and digests over real sockets: bytes and processor time per exchange.
 //!
-//! The structs have the fields of design section 9. The HTTP head is written out here in the form
-//! of design section 4; bytes of TCP and IP are not included.
+//! Messages, heads and keyed hashes are those of the daemon. Bytes of TCP and IP headers are not
+//! included. The processor time is that of both ends and of the new connection.
 
+use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
+use async_net::TcpListener;
+use binding::{Context, KeyRing};
+use config::KeySettings;
+use entry::messages::{DIGEST_PATH, DigestQuestion, HEARTBEAT_PATH, HeartbeatMessage};
+use http::Request;
+use http::client::ClientOptions;
+use http::peer::Signature;
+use http::server::ServerOptions;
+use membership::{DigestWire, HeartbeatWire};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
-use super::{Report, each_ns};
+use super::forwarder::{self, Counts};
+use super::{Report, process};
 
 /// Services of a deployment.
-const SERVICES: usize = 4;
-/// Entry VMs named in a message: peers confirmed by a heartbeat, members listed by a digest.
-const MEMBERS: [usize; 5] = [0, 2, 12, 43, 120];
+const SERVICES: [&str; 4] = ["werkdienst", "bestelldienst", "fahnendienst", "nachlassdienst"];
+/// Peers in the domain of the sender.
+const PEERS: [usize; 4] = [2, 8, 16, 43];
+/// Exchanges whose bytes are counted.
+const COUNTED: u64 = 20;
+/// Exchanges whose processor time is measured.
+const TIMED: u32 = 1_500;
 
-/// Heartbeat of an entry VM.
-#[derive(Serialize, Deserialize)]
-struct Heartbeat {
-    id: Box<str>,
-    incarnation: u64,
-    uptime_ms: u64,
-    state: u8,
-    generation: u64,
-    /// Free slots per service.
-    free: Vec<u32>,
-    /// Peers whose slot share this VM counts.
-    counted: Vec<(u16, u64)>,
+/// Measures both exchanges.
+pub async fn measure(r: &mut Report<'_>) -> io::Result<()> {
+    let mut sizes = Vec::new();
+    for n in PEERS {
+        let (bytes, us) = exchange(HEARTBEAT_PATH, heartbeat(n), heartbeat(n)).await?;
+        sizes.push((n as f64, bytes));
+        r.line(
+            "heartbeat",
+            &[("peers", &n), ("exchange_bytes", &bytes), ("cpu_us", &us)],
+        )?;
+    }
+    r.fit("heartbeat_exchange_bytes_by_peers", &sizes)?;
+    let mut sizes = Vec::new();
+    for n in [1, 2, 4, 8] {
+        let (bytes, us) = exchange(DIGEST_PATH, DigestQuestion {}, digest(n)).await?;
+        sizes.push((n as f64, bytes));
+        r.line(
+            "digest",
+            &[("services", &n), ("exchange_bytes", &bytes), ("cpu_us", &us)],
+        )?;
+    }
+    r.fit("digest_exchange_bytes_by_services", &sizes)
 }
 
-/// Digest of a failure domain.
-#[derive(Serialize, Deserialize)]
-struct Digest {
-    domain: Box<str>,
-    generation: u64,
-    /// Slots and free slots per service.
-    services: Vec<(u32, u32)>,
-    /// Number in the configuration, state and free slots of each entry VM.
-    members: Vec<(u16, u8, u16)>,
+fn heartbeat(peers: usize) -> HeartbeatMessage {
+    let free = SERVICES.iter().map(|s| (Box::from(*s), 150));
+    let counted = (0..=peers).map(|n| format!("donau-1-{n:02}").into());
+    HeartbeatMessage {
+        heartbeat: HeartbeatWire {
+            vm: "donau-1-02".into(),
+            incarnation: u64::MAX - 7,
+            uptime_ms: 86_400_000,
+            state: 1,
+            generation: 124_100,
+            free_slots: 600,
+            counted: counted.collect(),
+        },
+        settled: 124_100,
+        free: free.collect::<BTreeMap<_, _>>(),
+    }
 }
 
-/// Measures both messages at all sizes.
-pub fn measure(r: &mut Report) -> io::Result<()> {
-    let heartbeat = |n: usize| Heartbeat {
-        id: "entry-321".into(),
-        incarnation: u64::MAX - 7,
-        uptime_ms: 86_400_000,
-        state: 1,
+fn digest(services: usize) -> DigestWire {
+    DigestWire {
+        domain: "donau-1".into(),
+        vm: "donau-1-02".into(),
         generation: 124_100,
-        free: vec![150; SERVICES],
-        counted: (0..n)
-            .map(|i| (300 + i as u16, u64::MAX - i as u64))
+        free_slots: (0..services)
+            .map(|i| (SERVICES[i % SERVICES.len()].into(), 6_000))
             .collect(),
-    };
-    let digest = |n: usize| Digest {
-        domain: "domain-13".into(),
-        generation: 124_100,
-        services: vec![(1_300, 700); SERVICES],
-        members: (0..n).map(|i| (300 + i as u16, 1, 60)).collect(),
-    };
-    one(r, "heartbeat", "/peer/heartbeat", heartbeat)?;
-    one(r, "digest", "/peer/digest", digest)
+        age_ms: 0,
+    }
 }
 
-fn one<T: Serialize + for<'a> Deserialize<'a>>(
-    r: &mut Report,
-    name: &str,
-    path: &str,
-    make: impl Fn(usize) -> T,
-) -> io::Result<()> {
-    let key = blake3::derive_key("rosemaryglade capacity", b"secret");
-    let (mut sizes, mut times) = (Vec::new(), Vec::new());
-    for n in MEMBERS {
-        let message = make(n);
-        let body = rmp_serde::to_vec(&message).expect("plain data");
-        let head = head(path, body.len());
-        let ns = each_ns(10_000, |_| {
-            let sent = rmp_serde::to_vec(&message).expect("plain data");
-            let hash = blake3::keyed_hash(&key, &sent);
-            let same = blake3::keyed_hash(&key, &sent) == hash;
-            let received: T = rmp_serde::from_slice(&sent).expect("just encoded");
-            (same, received)
-        });
-        let total = (head + body.len()) as f64;
-        sizes.push((n as f64, total));
-        times.push((n as f64, ns));
-        r.line(
-            name,
-            &[
-                ("members", &n),
-                ("body_bytes", &body.len()),
-                ("head_bytes", &head),
-                ("encode_hash_verify_decode_ns", &ns),
-            ],
-        )?;
+/// Bytes and microseconds of one exchange.
+async fn exchange<Q, A>(path: &'static str, question: Q, answer: A) -> io::Result<(f64, f64)>
+where
+    Q: Serialize + DeserializeOwned,
+    A: Serialize + DeserializeOwned + Clone + Send + Sync + 'static,
+{
+    let keys = KeyRing::new(&[KeySettings {
+        id: 1,
+        secret: "secret of a measurement".into(),
+    }])
+    .map_err(|e| io::Error::other(e.to_string()))?;
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let direct = listener.local_addr()?;
+    let (stop, stopped) = async_channel::bounded::<()>(1);
+    let ring = keys.clone();
+    let handler = move |mut req: Request| {
+        let (keys, answer) = (ring.clone(), answer.clone());
+        async move {
+            let valid = |s: &Signature, b: &[u8]| keys.verify(Context::PeerMessage, s.key, b, &s.mac);
+            let read: http::Result<Q> = http::peer::read(&mut req, valid).await;
+            assert!(read.is_ok(), "the question is signed with the same keys");
+            http::peer::answer(&answer)
+        }
+    };
+    let served = http::server::serve(listener, ServerOptions::default(), stopped, handler);
+    let task = runtime::spawn(served);
+    let counts = Arc::new(Counts::default());
+    let counted = forwarder::start(direct, counts.clone()).await?;
+    for _ in 0..COUNTED {
+        call::<Q, A>(&keys, counted, path, &question).await?;
     }
-    r.fit(&format!("{name}_bytes_by_members"), &sizes)?;
-    r.fit(&format!("{name}_ns_by_members"), &times)
+    let before = process::own_cpu()?;
+    for _ in 0..TIMED {
+        call::<Q, A>(&keys, direct, path, &question).await?;
+    }
+    let cpu = process::own_cpu()? - before;
+    drop(stop);
+    task.await;
+    let bytes = counts.now().0 as f64 / COUNTED as f64;
+    Ok((bytes, cpu.as_secs_f64() * 1e6 / f64::from(TIMED)))
 }
 
-/// Bytes of a request head with key id and hash, and of the head of its empty response.
-fn head(path: &str, body: usize) -> usize {
-    let hash = "0".repeat(64);
-    let request = format!(
-        "POST {path} HTTP/1.1\r\nhost: 10.0.1.65:7001\r\ncontent-length: {body}\r\n\
-         x-key-id: 1\r\nx-hash: {hash}\r\n\r\n"
-    );
-    let response = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
-    request.len() + response.len()
+async fn call<Q: Serialize, A: DeserializeOwned>(
+    keys: &KeyRing,
+    address: SocketAddr,
+    path: &str,
+    question: &Q,
+) -> io::Result<A> {
+    let sign = |bytes: &[u8]| {
+        let (key, mac) = keys.sign(Context::PeerMessage, bytes);
+        Signature { key, mac }
+    };
+    let options = ClientOptions::default();
+    let exchange = async {
+        let tcp = http::client::connect(address, options.connect_timeout).await?;
+        http::peer::call(tcp, path, question, sign, &options).await
+    };
+    Box::pin(exchange)
+        .await
+        .map_err(|e| io::Error::other(e.to_string()))
 }
--- a/components/load/src/capacity/records.rs
+++ b/components/load/src/capacity/records.rs
@@ -1,84 +1,31 @@
-//! Binding execution records, with the fields of design section 5.
+//! Binding execution records of the crate `binding`.
 
-use std::collections::HashMap;
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
+use binding::{Begin, Ending, RecordLimits, Records, Work, WorkId};
 use fastrand::Rng;
 
 use super::{Report, memory};
 
 /// Numbers of records held at once.
 const SIZES: [usize; 3] = [25_000, 50_000, 100_000];
-/// Bytes of an answer.
+/// Bytes of an answer's body.
 const ANSWER: usize = 200;
 
-/// Stand-in with the same fields as an execution record.
-struct Record {
-    digest: [u8; 32],
-    expiry: Duration,
-    state: State,
-}
-
-enum State {
-    Running,
-    Answered(Answer),
-}
-
-struct Answer {
-    status: u16,
-    body: Box<[u8]>,
-}
-
-impl Record {
-    fn new(rng: &mut Rng) -> Self {
-        let body = vec![rng.u8(..); ANSWER].into_boxed_slice();
-        let mut digest = [0; 32];
-        rng.fill(&mut digest);
-        let state = if rng.u8(..10) == 0 {
-            State::Running
-        } else {
-            State::Answered(Answer { status: 200, body })
-        };
-        Record {
-            digest,
-            expiry: Duration::from_secs(rng.u64(..130)),
-            state,
-        }
-    }
+/// An answer as the daemon keeps it: shared bytes. Its status and headers are not in it.
+type Answer = Arc<[u8]>;
 
-    /// Reads every field, so that none is optimised away.
-    fn weigh(&self) -> usize {
-        let answer = match &self.state {
-            State::Running => 0,
-            State::Answered(a) => usize::from(a.status) + a.body.len(),
-        };
-        usize::from(self.digest[0]) + self.expiry.subsec_millis() as usize + answer
-    }
-}
-
-/// Records that are kept so that no later measurement takes memory that they have freed.
-pub struct Records(Vec<HashMap<u128, Record>>);
-
-impl Drop for Records {
-    /// Reads the records, so that they are not optimised away.
-    fn drop(&mut self) {
-        let all = self.0.iter().flat_map(HashMap::values);
-        std::hint::black_box(all.map(Record::weigh).sum::<usize>());
-    }
-}
-
-/// Measures the resident growth per record; the map's capacity is reserved for each size.
-pub fn measure(r: &mut Report) -> io::Result<Records> {
+/// Measures the resident growth per record, all of them answered. The records are returned so
+/// that no later measurement takes memory that they have freed.
+pub fn measure(r: &mut Report) -> io::Result<Vec<Records<Answer>>> {
     let mut points = Vec::new();
     let mut rng = Rng::with_seed(r.seed);
     let mut all = Vec::new();
     for n in SIZES {
         let before = memory::resident()?;
-        let mut records = HashMap::with_capacity(n);
-        for _ in 0..n {
-            records.insert(rng.u128(..), Record::new(&mut rng));
-        }
+        let records = fill(n, &mut rng);
         let bytes = memory::resident()?.saturating_sub(before) as f64;
         all.push(records);
         points.push((n as f64, bytes));
@@ -93,5 +40,30 @@
         )?;
     }
     r.fit("binding_record_bytes_by_records", &points)?;
-    Ok(Records(all))
+    Ok(all)
+}
+
+fn fill(n: usize, rng: &mut Rng) -> Records<Answer> {
+    let mut records = Records::new(RecordLimits::default());
+    for _ in 0..n {
+        let mut nonce = [0; 16];
+        rng.fill(&mut nonce);
+        let mut digest = [0; 32];
+        rng.fill(&mut digest);
+        let now = Duration::ZERO;
+        let work = Work {
+            id: WorkId::Ticket(nonce),
+            digest,
+            expires: Duration::from_secs(rng.u64(1..130)),
+            deadline: Duration::from_secs(5),
+            claimed: false,
+        };
+        let Begin::Run(permit) = records.begin(&work, now) else {
+            unreachable!("nonces are drawn at random and the limits allow this many");
+        };
+        let body: Answer = vec![rng.u8(..); ANSWER].into();
+        let ending = records.answered(permit, body, ANSWER, now);
+        assert_eq!(ending, Ending::Answered);
+    }
+    records
 }
