Add the status and settings commands, and plans against the configuration in force

Cause: operators could read the state of one entry VM only, by hand, and a plan needed the files of the configuration in force. Ruled out: a service that collects the state, because no entry VM is dedicated to control. Exit code 8 tells that an entry VM does not answer or is behind. Conclusion: builds; not yet tested.

--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -1,5 +1,7 @@
 //! Admission of requests to the backend servers of this failure domain.
 
+mod report;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -9,7 +9,7 @@
 mod listeners;
 mod look_up;
 mod node;
-mod operator;
+pub mod operator;
 mod peer;
 mod reach;
 mod relay;
--- a/components/entry/src/operator.rs
+++ b/components/entry/src/operator.rs
@@ -2,32 +2,85 @@
 
 use std::collections::BTreeMap;
 
-use config::{EntryVmId, Generation, ServiceId};
+use config::{EntryVmId, Generation, ServerId, ServiceId};
 use http::codes::{self, Code};
 use http::{Body, Method, Request, Response, StatusCode, server};
-use serde::Serialize;
+use membership::{Liveness, VmState};
+use serde::{Deserialize, Serialize};
 
 use crate::node::Node;
 
 /// State of one entry VM as operators see it.
-#[derive(Debug, Serialize)]
-struct Status {
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Status {
     /// Entry VM.
-    id: EntryVmId,
+    pub id: EntryVmId,
     /// Failure domain.
-    domain: Box<str>,
+    pub domain: Box<str>,
     /// Generation in force; 0 without a configuration.
-    generation: Generation,
+    pub generation: Generation,
     /// Whether the process is stopping.
-    stopping: bool,
+    pub stopping: bool,
     /// Uptime in seconds.
-    uptime_s: u64,
+    pub uptime_s: u64,
     /// Free slots per service.
-    free_slots: BTreeMap<ServiceId, u32>,
+    pub free_slots: BTreeMap<ServiceId, u32>,
     /// Binding records kept.
-    binding_records: usize,
+    pub binding_records: usize,
     /// Entry VMs that look-ups name.
-    candidates: Vec<EntryVmId>,
+    pub candidates: Vec<EntryVmId>,
+    /// Other entry VMs of the failure domain.
+    #[serde(default)]
+    pub peers: BTreeMap<EntryVmId, PeerStatus>,
+    /// Backend servers of the failure domain.
+    #[serde(default)]
+    pub servers: BTreeMap<ServerId, ServerStatus>,
+}
+
+/// What an entry VM knows about another one of its failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerStatus {
+    /// Whether its heartbeats arrive.
+    pub heard: PeerLiveness,
+    /// Whether its last heartbeat said that it is leaving.
+    pub leaving: bool,
+    /// Generation in its last heartbeat; 0 if none has arrived.
+    pub generation: Generation,
+}
+
+/// Whether the heartbeats of an entry VM arrive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum PeerLiveness {
+    /// They arrive.
+    Alive,
+    /// None for a short time, or none so far.
+    Suspected,
+    /// None for so long that the VM counts as failed.
+    Dead,
+}
+
+/// What an entry VM knows about a backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerStatus {
+    /// Service.
+    pub service: ServiceId,
+    /// Whether it takes new work.
+    pub state: ServerState,
+    /// Whether it only gets trial requests because it failed or was slow.
+    pub suspended: bool,
+}
+
+/// Whether a backend server takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ServerState {
+    /// It takes new work.
+    Ready,
+    /// It is not ready yet.
+    Starting,
+    /// It is drained or says that it is leaving.
+    Leaving,
 }
 
 /// Serves `/status`, `/metrics` and `/config`; none of them shows a key.
@@ -62,5 +115,31 @@
         free_slots: node.admission.free_slots(),
         binding_records: node.lock_work().records.len(),
         candidates: node.lock_membership().look_up_candidates(now),
+        peers: peers(node),
+        servers: node.admission.servers(),
     }
 }
+
+fn peers(node: &Node) -> BTreeMap<EntryVmId, PeerStatus> {
+    let Some(cfg) = node.in_force() else {
+        return BTreeMap::new();
+    };
+    let now = node.now();
+    let membership = node.lock_membership();
+    cfg.entry_vms_of(&node.settings.domain)
+        .filter_map(|vm| {
+            let heard = match membership.state_of(&vm.id, now)? {
+                Liveness::Alive => PeerLiveness::Alive,
+                Liveness::Suspected => PeerLiveness::Suspected,
+                Liveness::Dead => PeerLiveness::Dead,
+            };
+            let last = membership.last_heartbeat(&vm.id).map(|(_, hb)| hb);
+            let status = PeerStatus {
+                heard,
+                leaving: last.is_some_and(|hb| hb.state == VmState::Leaving),
+                generation: last.map_or(0, |hb| hb.generation),
+            };
+            Some((vm.id.clone(), status))
+        })
+        .collect()
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -52,6 +52,14 @@
         command: cmd::shift::command,
         run: cmd::shift::run,
     },
+    Subcommand {
+        command: cmd::status::command,
+        run: cmd::status::run,
+    },
+    Subcommand {
+        command: cmd::settings::command,
+        run: cmd::settings::run,
+    },
     Subcommand {
         command: cmd::demo::command,
         run: cmd::demo::run,
--- a/src/cmd/exit.rs
+++ b/src/cmd/exit.rs
@@ -22,6 +22,8 @@
 pub const CAP: Code = Code(6);
 /// The platform did not confirm a change that may have taken effect.
 pub const UNKNOWN: Code = Code(7);
+/// An entry VM does not answer or does not have the newest configuration.
+pub const BEHIND: Code = Code(8);
 
 impl From<Code> for ExitCode {
     fn from(code: Code) -> ExitCode {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -10,6 +10,8 @@
 pub mod operator;
 pub mod plan;
 pub mod revert_to;
+pub mod settings;
 pub mod shift;
 pub mod show;
+pub mod status;
 pub mod undrain;
--- a/src/cmd/operator.rs
+++ b/src/cmd/operator.rs
@@ -20,13 +20,17 @@
 
 /// Adds the options of commands that talk to the platform.
 pub fn with_platform(command: Command) -> Command {
+    with_optional_platform(command).mut_arg("platform", |arg| arg.required(true))
+}
+
+/// Adds the same options to a command that can do without the platform.
+pub fn with_optional_platform(command: Command) -> Command {
     command
         .arg(
             Arg::new("platform")
                 .long("platform")
                 .value_name("ADDR")
                 .help("Address of the platform, IP:PORT; several are tried in turn")
-                .required(true)
                 .action(ArgAction::Append)
                 .value_delimiter(',')
                 .value_parser(value_parser!(SocketAddr)),
