--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -1,6 +1,7 @@
 //! Admission of requests to the backend servers of this failure domain.
 
 mod loans;
+mod report;
 mod service;
 mod slot;
 
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -11,7 +11,7 @@
 mod loans;
 mod look_up;
 mod node;
-mod operator;
+pub mod operator;
 mod peer;
 mod reach;
 mod relay;
