Report work that its deadline ends in the queue as not run

Cause: a caller that waits for binding work was told "unknown" (303) at the same moment at which the execution itself ended as "not run" (203), and a key whose claim waits for an unreachable table service ended with 203 instead of 207. Found by keys_do_not_run_while_claims_are_unsettled.

Ruled out: a run without a claim; the servers had run none of the keys.

Change: a waiter stays 100 ms beyond the deadline for the report of the execution, and a claim that ends while the table service does not answer is refused as unreachable. The caller of the tests waits 500 ms beyond its deadline. New tests: holder of a key killed, slots while entry VMs die and stand still.

--- a/components/binding/src/claims.rs
+++ b/components/binding/src/claims.rs
@@ -235,7 +235,13 @@
         }
         self.batches
             .retain(|b| b.stage == Stage::Called || !b.claims.is_empty());
-        self.refuse(late, ClaimRefusal::DeadlinePassed)
+        // The table service did not answer since its last failure: that is what the caller
+        // has to know.
+        let why = match self.unreachable_until {
+            Some(_) => ClaimRefusal::Unreachable,
+            None => ClaimRefusal::DeadlinePassed,
+        };
+        self.refuse(late, why)
     }
 
     /// Next call to the table service. Call again until it returns `Wait`.
--- a/components/deployment/src/caller.rs
+++ b/components/deployment/src/caller.rs
@@ -12,6 +12,9 @@
 
 use crate::error::{Error, Result};
 
+/// Time for which a caller waits beyond its deadline, so that it gets an answer given at the
+/// deadline.
+const GRACE: Duration = Duration::from_millis(500);
 /// Attempts of one request.
 const MAX_ATTEMPTS: usize = 4;
 
@@ -96,7 +99,7 @@
             let req = client::build(Method::Get, &format!("/lookup?service={service}"))
                 .change_context(Error::LookUp)?;
             let options = ClientOptions {
-                timeout: self.deadline,
+                timeout: self.deadline + GRACE,
                 ..ClientOptions::default()
             };
             let Ok(mut res) = Box::pin(client::request(address, req, &options)).await else {
@@ -175,7 +178,7 @@
             req.set_body(Body::from_bytes(work.id.as_bytes().to_vec()));
         }
         let options = ClientOptions {
-            timeout: self.deadline,
+            timeout: self.deadline + GRACE,
             ..ClientOptions::default()
         };
         let res = Box::pin(client::request(address, req, &options)).await;
--- a/components/deployment/tests/failures/keys.rs
+++ b/components/deployment/tests/failures/keys.rs
@@ -1,5 +1,6 @@
 //! Binding work under keys of the callers.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use deployment::history::{Attempt, Operation};
@@ -112,64 +113,108 @@
     });
 }
 
-/// Guards against work that is sent without a claim while the platform is down, and against a
-/// refusal that leaves a key unusable afterwards.
+/// Presents keys one after the other, each at one entry VM.
+async fn present_each(caller: &Caller, prefix: &str, count: usize) -> Vec<Operation> {
+    let mut operations = Vec::new();
+    for i in 0..count {
+        let id = format!("{prefix}-{i}");
+        let address = caller.known[(i + prefix.len()) % caller.known.len()];
+        operations.push(Operation {
+            id: id.into(),
+            binding: true,
+            attempts: Vec::new(),
+        });
+        present_again(caller, &mut operations[i], address).await;
+    }
+    operations
+}
+
+async fn present_again(caller: &Caller, operation: &mut Operation, address: SocketAddr) {
+    let work = work(&operation.id);
+    let answer = caller
+        .send(address, &work, Credential::Key(&work.id))
+        .await
+        .unwrap();
+    operation.attempts.push(Attempt { address, answer });
+}
+
+/// Guards against work that is sent without a claim while the platform cannot be reached, and
+/// against a refusal that leaves a key unusable afterwards.
 #[test]
-fn keys_are_refused_as_not_run_while_the_platform_is_down() {
+fn keys_are_refused_as_not_run_without_the_platform() {
     run(async {
-        let d = Deployment::start(options(Shape::default())).await.unwrap();
+        let mut d = Deployment::start(options(Shape::default())).await.unwrap();
         let caller = caller(&d);
-        d.platform.set_faults(|f| f.down = true);
-        let mut operations = Vec::new();
-        for i in 0..24 {
-            let id = format!("down-{i}");
-            let address = caller.known[i % caller.known.len()];
-            let answer = caller
-                .send(address, &work(&id), Credential::Key(&id))
-                .await
-                .unwrap();
-            operations.push(Operation {
-                id: id.into(),
-                binding: true,
-                attempts: vec![Attempt { address, answer }],
-            });
+        let domains = d.configuration.inventory.domains.clone();
+        for domain in &domains {
+            d.cut_platform(&domain.id);
         }
-        let runs = d.runs();
+        let mut operations = present_each(&caller, "cut", 24).await;
         for o in &operations {
-            assert_eq!(runs.get(&o.id), None, "{o:?}");
-            // A claim whose transaction reached the platform before it went down may be unsettled.
-            assert!(
-                matches!(
-                    o.attempts[0].answer,
-                    Answer::NotRun(207) | Answer::Unknown(306)
-                ),
-                "{o:?}"
-            );
+            assert_eq!(o.attempts[0].answer, Answer::NotRun(207), "{o:?}");
         }
-        let refused = operations
-            .iter()
-            .filter(|o| o.attempts[0].answer == Answer::NotRun(207))
-            .count();
-        assert!(refused > 0, "{operations:?}");
         // Tickets need no platform.
-        let ticketed = caller
-            .perform(&Work {
-                id: "ticketed".into(),
-                ..work("ticketed")
-            })
-            .await;
+        let ticketed = caller.perform(&work("ticketed")).await;
         assert_eq!(ticketed, Answer::Whole);
+        for domain in &domains {
+            d.restore_platform(&domain.id).await.unwrap();
+        }
+        pause(1_000).await;
+        for o in &mut operations {
+            // Another entry VM than before.
+            let at = caller
+                .known
+                .iter()
+                .position(|a| *a == o.attempts[0].address)
+                .unwrap();
+            let next = caller.known[(at + 1) % caller.known.len()];
+            present_again(&caller, o, next).await;
+            assert_eq!(o.attempts[1].answer, Answer::Whole, "{o:?}");
+        }
+        require("keys-platform-cut", &d, &operations);
+    });
+}
+
+/// Guards against the same when the platform closes connections instead of answering, so that no
+/// entry VM knows whether its claim took effect.
+#[test]
+fn keys_do_not_run_while_claims_are_unsettled() {
+    run(async {
+        let d = Deployment::start(options(Shape::default())).await.unwrap();
+        let caller = Caller {
+            deadline: Duration::from_secs(1),
+            ..caller(&d)
+        };
+        d.platform.set_faults(|f| f.down = true);
+        let mut tasks = Vec::new();
+        for i in 0..24 {
+            let caller = caller.clone();
+            tasks.push(runtime::spawn(async move {
+                present_each(&caller, &format!("down-{i}"), 1).await
+            }));
+            // Some arrive together, others after the first failure.
+            pause(20).await;
+        }
+        let mut operations = Vec::new();
+        for task in tasks {
+            operations.extend(task.await);
+        }
+        for o in &operations {
+            assert_eq!(o.attempts[0].answer, Answer::NotRun(207), "{o:?}");
+        }
+        let runs = d.runs();
+        assert!(operations.iter().all(|o| !runs.contains_key(&o.id)));
+        assert!(
+            operations
+                .iter()
+                .any(|o| o.attempts[0].answer == Answer::NotRun(207))
+        );
         d.platform.set_faults(|f| f.down = false);
-        runtime::sleep(Duration::from_secs(1)).await;
+        pause(1_000).await;
         for o in &mut operations {
             let address = o.attempts[0].address;
-            let answer = caller
-                .send(address, &work(&o.id), Credential::Key(&o.id))
-                .await
-                .unwrap();
-            o.attempts.push(Attempt { address, answer });
+            present_again(&caller, o, address).await;
         }
         require("keys-platform-down", &d, &operations);
-        println!("refused_207={refused}");
     });
 }
--- a/components/entry/src/work.rs
+++ b/components/entry/src/work.rs
@@ -25,6 +25,9 @@
 
 /// Time for which work under a caller's key may start; the claim in the table lasts longer.
 const KEY_LIFETIME: Duration = Duration::from_mins(1);
+/// Time beyond the deadline for an execution that the deadline ends to report how; without it a
+/// caller is told "unknown" of work that was never sent.
+const END_MARGIN: Duration = Duration::from_millis(100);
 
 /// How an execution ended for the callers that wait for it.
 #[derive(Clone, Debug)]
@@ -131,7 +134,7 @@
         Err(NotStarted::Answered(stored)) => return stored.response(),
         Err(NotStarted::Refused(refusal)) => return refusal.response(),
     };
-    let remaining = work.deadline.saturating_sub(node.now());
+    let remaining = (work.deadline + END_MARGIN).saturating_sub(node.now());
     // The channel closes at the end; nothing is ever sent on it.
     let ended = runtime::timeout(remaining, execution.done.recv())
         .await
--- a/components/entry/tests/processes/main.rs
+++ b/components/entry/tests/processes/main.rs
@@ -4,6 +4,8 @@
 
 mod common;
 mod freeze;
+mod keys;
 mod kill;
 mod serve;
+mod slots;
 mod terminate;
