Count the requests present at a server, not only those in service

Cause: the stand-in never has more requests in service than slots, so the check of the limit could not fail. Change: it also counts requests in its queue and shed on arrival; demo and tests check that figure.

--- a/components/deployment/src/running.rs
+++ b/components/deployment/src/running.rs
@@ -299,12 +299,12 @@
         runs
     }
 
-    /// Returns the servers that had more requests in service than slots, with both numbers.
+    /// Returns the servers that had more requests present than slots, with both numbers.
     pub fn past_slots(&self) -> Vec<(ServerId, usize, usize)> {
         let known = self.configuration.inventory.servers.iter();
         known
             .filter_map(|s| {
-                let peak = self.servers.get(&s.id)?.executions().peak_in_service;
+                let peak = self.servers.get(&s.id)?.executions().peak_present;
                 let slots = s.slots as usize;
                 (peak > slots).then(|| (s.id.clone(), peak, slots))
             })
--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -95,9 +95,9 @@
         let now = self.clock.uptime();
         {
             let mut inner = self.lock();
-            if generation > inner.ledger.generation() {
+            if Some(generation) > inner.ledger.generation() {
                 inner.ledger.adopt(generation, parts);
-            } else if generation == inner.ledger.generation() {
+            } else if Some(generation) == inner.ledger.generation() {
                 inner.ledger.reassign(parts);
             }
             if counted {
--- a/components/standins/src/server/executions.rs
+++ b/components/standins/src/server/executions.rs
@@ -31,6 +31,9 @@
     pub in_service: usize,
     /// Most requests ever in service at once.
     pub peak_in_service: usize,
+    /// Most requests ever present at once: in service, in the queue, or shed on arrival. More
+    /// than the slots means that callers went past the server's limit.
+    pub peak_present: usize,
     /// Most connections ever open at once.
     pub peak_connections: usize,
     /// Connections closed because of the limit.
--- a/components/standins/src/server/mod.rs
+++ b/components/standins/src/server/mod.rs
@@ -150,6 +150,7 @@
         let mut executions = self.state().log.executions();
         executions.in_service = self.slots.busy();
         executions.peak_in_service = self.slots.peak();
+        executions.peak_present = self.slots.peak_present();
         executions.peak_connections = self.counters.peak.load(Ordering::Relaxed);
         executions.rejected_connections = self.counters.rejected.load(Ordering::Relaxed);
         executions
--- a/components/standins/src/server/slots.rs
+++ b/components/standins/src/server/slots.rs
@@ -16,6 +16,8 @@
     max_queue: usize,
     busy: usize,
     peak: usize,
+    /// Most requests ever in service or in the queue at once.
+    peak_present: usize,
     next_waiter: u64,
     queue: VecDeque<(u64, Sender<()>)>,
 }
@@ -42,6 +44,7 @@
             max_queue,
             busy: 0,
             peak: 0,
+            peak_present: 0,
             next_waiter: 0,
             queue: VecDeque::new(),
         };
@@ -60,10 +63,17 @@
         self.lock().peak
     }
 
+    /// Most requests ever in service or in the queue at once.
+    pub fn peak_present(&self) -> usize {
+        self.lock().peak_present
+    }
+
     /// Waits for a slot; `None` if the queue is full.
     pub async fn acquire(&self) -> Option<Slot> {
         let mut waiter = {
             let mut inner = self.lock();
+            let present = inner.busy + inner.queue.len() + 1;
+            inner.peak_present = inner.peak_present.max(present);
             if inner.busy < inner.total {
                 inner.busy += 1;
                 inner.peak = inner.peak.max(inner.busy);
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -214,7 +214,7 @@
             .iter()
             .find(|s| s.id == *id)
             .map_or(0, |s| s.slots as usize);
-        peak_over += usize::from(seen.peak_in_service > slots);
+        peak_over += usize::from(seen.peak_present > slots);
     }
     let binding: Vec<_> = answers.iter().filter(|(w, _)| w.binding).collect();
     let twice = binding
