Check what frozen entry VMs send, and tickets at two entry VMs at once

Cause: a late send of binding work contradicts no answer, so the history alone could not show it; and no operation was sent to two entry VMs at once.

Change: the runs at the end of a pause and after it are compared with the times of the tickets. A tenth of the operations goes to two entry VMs at once. A server's own error status counts as unknown instead of a wrong answer: slots-partition reported two 504 answers of a server as wrong.

--- a/components/deployment/src/caller.rs
+++ b/components/deployment/src/caller.rs
@@ -59,7 +59,7 @@
     Wrong,
     /// Refused with a result code; the work did not run.
     NotRun(u16),
-    /// The outcome is unknown, with the result code when there is one.
+    /// The outcome is unknown, with the result code, or the HTTP status of a server's own error.
     Unknown(u16),
 }
 
@@ -204,6 +204,9 @@
             Answer::Unknown(code)
         });
     }
+    if !res.status().is_success() {
+        return Ok(Answer::Unknown(res.status().into()));
+    }
     let echo: Echo = match client::parse_json(&mut res).await {
         Ok(echo) => echo,
         Err(_) => return Ok(Answer::Wrong),
--- a/components/deployment/src/history.rs
+++ b/components/deployment/src/history.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use crate::caller::Answer;
 
@@ -22,6 +23,8 @@
     pub id: Box<str>,
     /// Whether it must run at most once.
     pub binding: bool,
+    /// When its first attempt began, after its look-up; its ticket was issued before.
+    pub begun: Instant,
     /// Attempts in the order of their ends.
     pub attempts: Vec<Attempt>,
 }
@@ -67,6 +70,22 @@
     verdict
 }
 
+/// Returns the operations that the servers started although their tickets, of the given lifetime,
+/// had expired before `from`; `before` and `after` are the runs at `from` and later.
+pub fn late<'a>(
+    operations: &'a [Operation],
+    before: &BTreeMap<Box<str>, u64>,
+    after: &BTreeMap<Box<str>, u64>,
+    from: Instant,
+    lifetime: Duration,
+) -> Vec<&'a Operation> {
+    let runs = |all: &BTreeMap<Box<str>, u64>, id| all.get(id).copied().unwrap_or(0);
+    let binding = operations.iter().filter(|o| o.binding);
+    binding
+        .filter(|o| runs(after, &o.id) > runs(before, &o.id) && o.begun + lifetime < from)
+        .collect()
+}
+
 /// Returns what callers were told of an operation that its runs contradict.
 fn contradiction(operation: &Operation, ran: u64) -> Option<&'static str> {
     let answers = || operation.attempts.iter().map(|a| &a.answer);
--- a/components/deployment/src/load.rs
+++ b/components/deployment/src/load.rs
@@ -1,11 +1,13 @@
 //! Callers that send work until they are told to stop, and keep a history.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_executor::Task;
 use fastrand::Rng;
+use futures_lite::future;
 use http::Error as HttpError;
 
 use crate::caller::{Answer, Caller, Credential, LookUp, Work};
@@ -29,6 +31,8 @@
     pub attempts: usize,
     /// Share of operations that are not repeated, so that each refusal is checked alone (0 to 1).
     pub single: f64,
+    /// Share of operations whose first attempt goes to two entry VMs at once (0 to 1).
+    pub doubled: f64,
     /// Bytes of an answer.
     pub answer_bytes: usize,
     /// Seed of the choices.
@@ -44,6 +48,7 @@
             pause: Duration::from_millis(5),
             attempts: 4,
             single: 0.3,
+            doubled: 0.1,
             answer_bytes: 2_000,
             seed: 1,
         }
@@ -88,8 +93,13 @@
             operations.len()
         );
         if let Ok(found) = caller.look_up(&plan.service).await {
-            let operation = operate(&caller, &plan, &found, id.into(), &mut rng).await;
-            operations.push(operation);
+            let operation = Operation {
+                id: id.into(),
+                binding: plan.binding,
+                begun: Instant::now(),
+                attempts: Vec::new(),
+            };
+            operations.push(operate(&caller, &plan, &found, operation, &mut rng).await);
         } else {
             runtime::sleep(LOOK_UP_PAUSE).await;
         }
@@ -103,45 +113,55 @@
     caller: &Caller,
     plan: &Plan,
     found: &LookUp,
-    id: Box<str>,
+    mut operation: Operation,
     rng: &mut Rng,
 ) -> Operation {
     let work = Work {
         service: plan.service.clone(),
         house: format!("house-{}", rng.u32(..4)).into(),
-        id: id.clone(),
+        id: operation.id.clone(),
         binding: plan.binding,
         answer_bytes: plan.answer_bytes,
     };
-    let mut operation = Operation {
-        id,
-        binding: plan.binding,
-        attempts: Vec::new(),
-    };
-    let most = if rng.f64() < plan.single {
+    let credential = Credential::from(found.ticket.as_deref());
+    let vms = &found.entry_vms;
+    let kind = rng.f64();
+    if kind < plan.doubled && vms.len() > 1 {
+        let first = attempt(caller, &work, credential, vms[0].address);
+        let second = attempt(caller, &work, credential, vms[1].address);
+        let (first, second) = future::zip(first, second).await;
+        operation.attempts.extend(first.into_iter().chain(second));
+        return operation;
+    }
+    let most = if kind < plan.doubled + plan.single {
         1
     } else {
         plan.attempts
     };
-    let credential = Credential::from(found.ticket.as_deref());
-    for i in 0..most {
-        let Some(vm) = found.entry_vms.get(i % found.entry_vms.len().max(1)) else {
-            break;
+    for vm in vms.iter().cycle().take(most) {
+        let Some(attempt) = attempt(caller, &work, credential, vm.address).await else {
+            continue;
         };
-        let answer = match caller.send(vm.address, &work, credential).await {
-            // Nothing was sent.
-            Err(HttpError::Connect) => continue,
-            Ok(answer) => answer,
-            Err(_) => Answer::Unknown(0),
-        };
-        let is_last = matches!(answer, Answer::Whole | Answer::Wrong);
-        operation.attempts.push(Attempt {
-            address: vm.address,
-            answer,
-        });
+        let is_last = matches!(attempt.answer, Answer::Whole | Answer::Wrong);
+        operation.attempts.push(attempt);
         if is_last {
             break;
         }
     }
     operation
 }
+
+/// Sends a request once; `None` if nothing was sent.
+async fn attempt(
+    caller: &Caller,
+    work: &Work,
+    credential: Credential<'_>,
+    address: SocketAddr,
+) -> Option<Attempt> {
+    let answer = match Box::pin(caller.send(address, work, credential)).await {
+        Err(HttpError::Connect) => return None,
+        Ok(answer) => answer,
+        Err(_) => Answer::Unknown(0),
+    };
+    Some(Attempt { address, answer })
+}
--- a/components/deployment/tests/failures/server_faults.rs
+++ b/components/deployment/tests/failures/server_faults.rs
@@ -10,7 +10,7 @@
 
 /// Share of bad answers.
 const BAD: f64 = 0.2;
-/// Retries that the budget allows on top of its share: whole tokens left at each entry VM.
+/// Share of the retry budget.
 const BUDGET_SHARE: f64 = 0.05;
 
 /// Runs a load while every server gives bad answers of one kind.
--- a/components/entry/tests/processes/keys.rs
+++ b/components/entry/tests/processes/keys.rs
@@ -1,7 +1,7 @@
 //! Keys of callers whose holder dies.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use deployment::history::{Attempt, Operation};
 use deployment::sample::ORDERS;
@@ -51,12 +51,14 @@
         let mut operations = vec![Operation {
             id: "done".into(),
             binding: true,
+            begun: Instant::now(),
             attempts: vec![done],
         }];
         for (i, first) in under_way.into_iter().enumerate() {
             operations.push(Operation {
                 id: format!("under-way-{i}").into(),
                 binding: true,
+                begun: Instant::now(),
                 attempts: vec![first.await],
             });
         }
