Test outdated platforms and late configuration objects

Change: a failure domain can be connected to an outdated copy of the platform, at once and with 2.5 s delay while a process starts. A stopped listener closes a moment later, so that the next one on its address tries again.

--- a/components/deployment/src/machines.rs
+++ b/components/deployment/src/machines.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use async_channel::Sender;
 use async_net::TcpListener;
@@ -13,20 +14,35 @@
 use crate::error::{Error, Result};
 use crate::running::Options;
 
+/// Most repetitions of a failed bind.
+const BIND_TRIES: u32 = 50;
+/// Pause between them.
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+
 /// Serves a platform at an address until the returned channel is dropped.
 pub async fn listen_platform(
     platform: &Platform,
     address: SocketAddr,
 ) -> Result<(SocketAddr, Sender<()>)> {
-    let listener = TcpListener::bind(address)
-        .await
-        .change_context(Error::Listen)?;
+    let listener = bind(address).await?;
     let address = listener.local_addr().change_context(Error::Listen)?;
     let (tx, rx) = async_channel::bounded(1);
     runtime::spawn(serve_platform(listener, platform.clone(), rx)).detach();
     Ok((address, tx))
 }
 
+/// Opens a listener; one that just ended on the same address closes a moment later.
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let mut tries = 0;
+    loop {
+        match TcpListener::bind(address).await {
+            Err(_) if tries < BIND_TRIES => runtime::sleep(BIND_PAUSE).await,
+            result => return result.change_context(Error::Listen),
+        }
+        tries += 1;
+    }
+}
+
 /// Starts all servers of a configuration.
 pub async fn start_servers(
     configuration: &Configuration,
--- a/components/deployment/src/running.rs
+++ b/components/deployment/src/running.rs
@@ -225,13 +225,18 @@
         }
     }
 
-    /// Lets a failure domain reach the platform again.
+    /// Lets a failure domain that is cut off reach the platform again.
     pub async fn restore_platform(&mut self, domain: &str) -> Result<()> {
         let platform = self.platform.clone();
+        self.connect_platform(domain, &platform).await
+    }
+
+    /// Lets a failure domain that is cut off reach another platform, such as an outdated copy.
+    pub async fn connect_platform(&mut self, domain: &str, platform: &Platform) -> Result<()> {
         if let Some(link) = self.platform_links.get_mut(domain)
             && link.listening.is_none()
         {
-            let (_, tx) = listen_platform(&platform, link.address).await?;
+            let (_, tx) = listen_platform(platform, link.address).await?;
             link.listening = Some(tx);
         }
         Ok(())
--- a/components/deployment/tests/failures/configuration.rs
+++ b/components/deployment/tests/failures/configuration.rs
@@ -6,10 +6,11 @@
 use std::time::Duration;
 
 use async_executor::Task;
+use async_net::TcpListener;
 use config::{EntryVmId, Generation};
 use deployment::sample::Shape;
 use deployment::{Answer, Deployment, status};
-use standins::platform::ObjectFault;
+use standins::platform::{ObjectFault, Platform, PlatformSettings, serve_platform};
 
 use crate::common::{All, SEED, caller, generations, options, pause, plan, require, run};
 
@@ -82,7 +83,14 @@
 #[test]
 fn racing_operators_never_revert_a_node() {
     run(async {
-        let d = Arc::new(Deployment::start(options(Shape::default())).await.unwrap());
+        let d = Arc::new(
+            Deployment::start(options(Shape {
+                entry_vms: 3,
+                ..Shape::default()
+            }))
+            .await
+            .unwrap(),
+        );
         let observer = Observer::start(&d);
         let load = All::start(&caller(&d), |_| {});
         let operators: Vec<_> = (0..3)
@@ -91,10 +99,19 @@
                 runtime::spawn(async move { operate(&d, operator, 40).await })
             })
             .collect();
+        // Uneven delays let an older object arrive after a newer one came from a peer.
+        let mut rng = fastrand::Rng::with_seed(SEED);
         for step in [3_600_000, -3_600_000, 0, -86_400_000, 0] {
-            d.platform.set_faults(|f| f.time_offset_ms = step);
-            pause(300).await;
+            for _ in 0..8 {
+                let slow_ms = if rng.bool() { rng.u64(100..500) } else { 0 };
+                d.platform.set_faults(|f| {
+                    f.time_offset_ms = step;
+                    f.slow_ms = slow_ms;
+                });
+                pause(rng.u64(50..150)).await;
+            }
         }
+        d.platform.set_faults(|f| f.slow_ms = 0);
         let (mut applied, mut newest) = (0, 0);
         for operator in operators {
             let (n, generation) = operator.await;
@@ -116,6 +133,94 @@
     });
 }
 
+/// Applies `count` changes on the head and returns the newest generation.
+async fn apply_more(d: &Deployment, count: u64) -> Generation {
+    let (_, newest) = operate(d, 0, count).await;
+    newest
+}
+
+/// Returns a copy of the platform as it was at the first generation.
+async fn first_copy(d: &Deployment) -> Platform {
+    let copy = Platform::new(PlatformSettings::default());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (stop, rx) = async_channel::bounded(1);
+    runtime::spawn(serve_platform(listener, copy.clone(), rx)).detach();
+    let client = platform::Client::new(platform::ClientSettings {
+        addresses: vec![address],
+        ..platform::ClientSettings::default()
+    });
+    let bytes = config::encode(&d.configuration);
+    platform::apply(
+        &client,
+        0,
+        &bytes,
+        "copy",
+        &mut fastrand::Rng::with_seed(SEED),
+    )
+    .await
+    .unwrap();
+    drop(stop);
+    copy
+}
+
+/// Connects the second failure domain to an outdated copy of the platform.
+async fn connect_copy(d: &mut Deployment) -> Platform {
+    let copy = first_copy(d).await;
+    let domain = d.configuration.inventory.domains[1].id.clone();
+    d.cut_platform(&domain);
+    d.connect_platform(&domain, &copy).await.unwrap();
+    copy
+}
+
+/// Guards against a node that goes back when its platform answers with an outdated copy.
+#[test]
+fn outdated_platform_reverts_no_node() {
+    run(async {
+        let mut d = Deployment::start(options(Shape::default())).await.unwrap();
+        let load = All::start(&caller(&d), |_| {});
+        let observer = Observer::start(&d);
+        let newest = apply_more(&d, 3).await;
+        d.wait_generation(newest).await.unwrap();
+        connect_copy(&mut d).await;
+        pause(2_500).await;
+        observer.require("outdated-platform").await;
+        assert!(generations(&d).await.iter().all(|(_, g)| *g == newest));
+        let operations = load.finish().await;
+        require("outdated-platform", &d, &operations);
+    });
+}
+
+/// Guards against an old object that arrives from a slow platform after a newer one came from a
+/// peer.
+#[test]
+fn late_object_reverts_no_node() {
+    run(async {
+        let mut d = Deployment::start_machines(options(Shape::default()))
+            .await
+            .unwrap();
+        let copy = connect_copy(&mut d).await;
+        let vms = d.configuration.inventory.entry_vms.clone();
+        let (late, others) = vms.split_last().unwrap();
+        for vm in others {
+            d.start_entry_vm(vm).unwrap();
+        }
+        d.wait_ready().await.unwrap();
+        let load = All::start(&caller(&d), |_| {});
+        // The head of the first generation arrives after 2.5 s, its object after 5 s.
+        copy.set_faults(|f| f.slow_ms = 2_500);
+        let observer = Observer::start(&d);
+        d.start_entry_vm(late).unwrap();
+        pause(2_700).await;
+        let newest = apply_more(&d, 1).await;
+        pause(4_000).await;
+        observer.require("late-object").await;
+        assert!(generations(&d).await.iter().all(|(_, g)| *g == newest));
+        let operations = load.finish().await;
+        require("late-object", &d, &operations);
+    });
+}
+
 /// Guards against a damaged object that is put in force, and against one bad read that blocks the
 /// good one afterwards.
 #[test]
