Damage configuration objects so that only their hash tells

Cause: with both checks of the object hash removed, the test still passed, because the damaged byte made the configuration invalid anyway.

Change: the configuration is sized so that it stays valid with the damaged byte.

--- a/components/deployment/tests/failures/configuration.rs
+++ b/components/deployment/tests/failures/configuration.rs
@@ -7,7 +7,7 @@
 
 use async_executor::Task;
 use async_net::TcpListener;
-use config::{EntryVmId, Generation};
+use config::{ClientBlock, Configuration, EntryVmId, Generation};
 use deployment::sample::Shape;
 use deployment::{Answer, Deployment, status};
 use standins::platform::{ObjectFault, Platform, PlatformSettings, serve_platform};
@@ -221,6 +221,25 @@
     });
 }
 
+/// Adds client blocks until a damaged object still is a valid configuration, so that only its hash
+/// tells that it is damaged.
+fn parse_though_damaged(next: &mut Configuration) {
+    let domain = next.inventory.domains[0].id.clone();
+    for i in 0..250 {
+        next.inventory.client_blocks.push(ClientBlock {
+            prefix: format!("10.{i}.0.0/16").into(),
+            domain: domain.clone(),
+        });
+        let mut bytes = config::encode(next);
+        let middle = bytes.len() / 2;
+        bytes[middle] ^= 1;
+        if config::parse_configuration(&bytes).is_ok() {
+            return;
+        }
+    }
+    panic!("no size of the configuration survives the damage");
+}
+
 /// Guards against a damaged object that is put in force, and against one bad read that blocks the
 /// good one afterwards.
 #[test]
@@ -234,6 +253,7 @@
             d.platform.set_faults(|f| f.objects = fault);
             let mut next = d.configuration.clone();
             next.rules.default_deadline_ms = 2_000 + generation;
+            parse_though_damaged(&mut next);
             let applied = d.apply(generation, &next).await.unwrap();
             pause(2_500).await;
             let seen = generations(&d).await;
