--- a/components/entry/src/operator.rs
+++ b/components/entry/src/operator.rs
@@ -106,6 +106,9 @@
 
 fn status(node: &Node) -> Status {
     let now = node.now();
+    // Each lock is released before the next is taken.
+    let binding_records = node.lock_work().records.len();
+    let candidates = node.lock_membership().look_up_candidates(now);
     Status {
         id: node.identity.vm.clone(),
         domain: node.settings.domain.clone(),
@@ -113,8 +116,8 @@
         stopping: node.is_stopping(),
         uptime_s: now.as_secs(),
         free_slots: node.admission.free_slots(),
-        binding_records: node.lock_work().records.len(),
-        candidates: node.lock_membership().look_up_candidates(now),
+        binding_records,
+        candidates,
         peers: peers(node),
         servers: node.admission.servers(),
     }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -56,6 +56,10 @@
         command: cmd::status::command,
         run: cmd::status::run,
     },
+    Subcommand {
+        command: cmd::list::command,
+        run: cmd::list::run,
+    },
     Subcommand {
         command: cmd::settings::command,
         run: cmd::settings::run,
--- a/src/cmd/files.rs
+++ b/src/cmd/files.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 
 use clap::ArgMatches;
-use config::{Configuration, Fault, Source};
+use config::{Configuration, Fault, Inventory, Source};
 
 use super::exit::{self, Code};
 
@@ -61,6 +61,15 @@
     configuration.ok_or(exit::FAULTS)
 }
 
+/// Reads and checks an inventory file alone. Faults are printed to standard error.
+pub fn read_inventory(path: &Path) -> Result<Inventory, Code> {
+    let file = read(path)?;
+    config::parse_inventory(&file.name, &file.text).map_err(|report| {
+        eprintln!("{}", report.current_context());
+        exit::FAULTS
+    })
+}
+
 /// Text that counts errors and warnings.
 pub fn summary(faults: &[Fault]) -> String {
     let errors = faults.iter().filter(|f| f.is_error()).count();
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 pub mod exit;
 pub mod files;
 pub mod history;
+pub mod list;
 pub mod operator;
 pub mod plan;
 pub mod revert_to;
--- a/src/cmd/settings.rs
+++ b/src/cmd/settings.rs
@@ -68,17 +68,14 @@
 
 fn settings(args: &ArgMatches) -> Result<Settings, Code> {
     let path = |id: &str| args.get_one::<PathBuf>(id).ok_or(exit::USAGE);
-    let file = files::read(path("inventory")?)?;
-    let inventory = config::parse_inventory(&file.name, &file.text).map_err(|report| {
-        eprintln!("{}", report.current_context());
-        exit::FAULTS
-    })?;
+    let inventory_path = path("inventory")?;
+    let inventory = files::read_inventory(inventory_path)?;
     let id = args.get_one::<String>("vm").ok_or(exit::USAGE)?;
     let Some(vm) = inventory.entry_vms.iter().find(|vm| *vm.id == **id) else {
         let known: Vec<&str> = inventory.entry_vms.iter().map(|vm| &*vm.id).collect();
         eprintln!(
             "{}: error: entry VM \"{id}\" does not exist; use one of {}",
-            file.name,
+            inventory_path.display(),
             known.join(", ")
         );
         return Err(exit::FAULTS);
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -71,7 +71,10 @@
 
 /// Runs the command.
 pub fn run(args: &ArgMatches) -> ExitCode {
-    let from_file = match args.get_one::<PathBuf>("inventory").map(read_inventory) {
+    let from_file = match args
+        .get_one::<PathBuf>("inventory")
+        .map(|path| files::read_inventory(path))
+    {
         Some(Ok(inventory)) => Some(inventory),
         Some(Err(code)) => return code.into(),
         None => None,
@@ -79,14 +82,6 @@
     operator::run(args, |session| status(session, from_file, args))
 }
 
-fn read_inventory(path: &PathBuf) -> Result<Inventory> {
-    let file = files::read(path)?;
-    config::parse_inventory(&file.name, &file.text).map_err(|report| {
-        eprintln!("{}", report.current_context());
-        exit::FAULTS
-    })
-}
-
 async fn status(session: Session, from_file: Option<Inventory>, args: &ArgMatches) -> Result<()> {
     let (configuration, newest) = match from_file {
         Some(inventory) => {
