--- a/components/entry/src/bin/rosemaryglade-entry.rs
+++ b/components/entry/src/bin/rosemaryglade-entry.rs
@@ -42,7 +42,7 @@
     match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("{}: {report:?}", path.display());
+            eprintln!("{}: error: {report:#}", path.display());
             FAILED.into()
         }
     }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -106,6 +106,7 @@
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
+        .inspect_err(|e| log::error!("event=listen_failed address={address} error=\"{e}\""))
         .change_context(Error::Listen)
         .attach_with(|| address)
 }
--- a/scripts/run-processes.sh
+++ b/scripts/run-processes.sh
@@ -50,11 +50,11 @@
     local code=$? pid
     trap - EXIT INT TERM
     if [ ${#entry_vms[@]} -gt 0 ]; then
-        echo "stopping; entry VMs wait until their last ticket has expired (10 s at most)"
+        echo "stopping; entry VMs wait until their last ticket (10 s) or key (60 s) has expired"
         for pid in "${entry_vms[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
         # An entry VM that hangs must not keep the script from ending.
         local i
-        for ((i = 0; i < 90; i++)); do
+        for ((i = 0; i < 180; i++)); do
             if ! any_runs "${entry_vms[@]}"; then break; fi
             sleep 0.5
         done
@@ -131,6 +131,11 @@
     "$BIN_DIR/rosemaryglade-entry" --settings "$dir/$item_id.json" >"$dir/$item_id.log" 2>&1 &
     entry_vms+=($!)
     name_of[$!]=$item_id
+    # The platform lists its VMs itself; its stand-in has to be told.
+    if command -v curl >/dev/null; then
+        curl --silent --show-error --fail --retry 5 --retry-connrefused --max-time 10 -X PUT \
+            -d '{"state":"live"}' "http://$platform/vms/$item_id" >/dev/null
+    fi
 done <"$dir/entry-vms"
 echo "started ${#entry_vms[@]} entry VMs; settings and logs are in $dir"
 
--- a/src/cmd/status/report.rs
+++ b/src/cmd/status/report.rs
@@ -138,7 +138,9 @@
             "platform" => "in force at the platform",
             _ => "the newest that an entry VM has",
         };
-        if self.newest_generation == 0 {
+        if self.answering == 0 && self.newest_from != "platform" {
+            writeln!(f, "no entry VM answers")?;
+        } else if self.newest_generation == 0 {
             writeln!(f, "no entry VM has a configuration")?;
         } else {
             writeln!(f, "generation {} is {from}", self.newest_generation)?;
