Test status, list, settings and plan against the platform

Cause: the new commands were tested by hand only. Ruled out: running commands on the thread of the test, which held up the executor that the entry VMs run on. Change: tests with a deployment inside the process; check says how many files it could not check, and that a text ends too early; arguments without a help have one.

--- a/components/config/src/parse.rs
+++ b/components/config/src/parse.rs
@@ -197,7 +197,10 @@
                     .position()
                     .map_or(text.lines().count().max(1), |p| p.line + 1);
                 let message = error.to_string();
-                let message = message.split(" at line ").next().unwrap_or_default();
+                let message = match message.split(" at line ").next().unwrap_or_default() {
+                    m if m.starts_with("EOF") => "the text ends too early",
+                    m => m,
+                };
                 faults.error_at(line, message, "correct the JSON text near this line");
             }
             Ok(node) => {
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -72,10 +72,13 @@
         files::print(format_args!("{fault}\n"));
     }
     let summary = files::summary(&faults);
+    let (checked, given) = (inputs.len(), count(args));
+    let rest = match given - checked {
+        0 => String::new(),
+        n => format!("; {n} could not be checked"),
+    };
     files::print(format_args!(
-        "{summary} in {} of {} files\n",
-        inputs.len(),
-        count(args)
+        "{summary} in {checked} of {given} files{rest}\n"
     ));
     let found = faults.iter().any(Fault::is_error).then_some(exit::FAULTS);
     failure.or(usage).or(found).unwrap_or(exit::FINE).into()
--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -32,6 +32,7 @@
         .arg(
             Arg::new("kind")
                 .value_name("KIND")
+                .help("Kind of object")
                 .required(true)
                 .value_parser(KINDS),
         )
--- a/src/cmd/list.rs
+++ b/src/cmd/list.rs
@@ -31,6 +31,7 @@
         .arg(
             Arg::new("kind")
                 .value_name("KIND")
+                .help("Kind of machine")
                 .required(true)
                 .value_parser(KINDS),
         )
--- a/src/cmd/settings.rs
+++ b/src/cmd/settings.rs
@@ -92,7 +92,8 @@
         keys: keys(path("key-file")?)?,
         ..Settings::default()
     };
-    checked(settings)
+    check(&settings)?;
+    Ok(settings)
 }
 
 /// Reads the keys; no message repeats a secret.
@@ -108,13 +109,16 @@
     })
 }
 
-/// Passes on settings that an entry VM accepts.
-fn checked(settings: Settings) -> Result<Settings, Code> {
-    let text = serde_json::to_string(&settings).unwrap_or_default();
-    config::parse_settings(&format!("settings of {}", settings.id), &text).map_err(|report| {
-        eprintln!("{}", report.current_context());
-        exit::FAULTS
-    })
+/// Refuses settings that an entry VM would refuse.
+fn check(settings: &Settings) -> Result<(), Code> {
+    let text = serde_json::to_string(settings).unwrap_or_default();
+    let name = format!("settings of {}", settings.id);
+    config::parse_settings(&name, &text)
+        .map(drop)
+        .map_err(|report| {
+            eprintln!("{}", report.current_context());
+            exit::FAULTS
+        })
 }
 
 /// Peer addresses that are asked for the configuration when the platform cannot be reached.
--- a/src/cmd/shift.rs
+++ b/src/cmd/shift.rs
@@ -21,7 +21,12 @@
              3 conflict, 4 platform unreachable and without effect, 6 a cap would be passed,\n\
              7 outcome unknown",
         )
-        .arg(Arg::new("service").value_name("SERVICE").required(true))
+        .arg(
+            Arg::new("service")
+                .value_name("SERVICE")
+                .help("Service whose traffic moves")
+                .required(true),
+        )
         .arg(
             Arg::new("share")
                 .value_name("DOMAIN=SHARE")
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -83,18 +83,15 @@
 }
 
 async fn status(session: Session, from_file: Option<Inventory>, args: &ArgMatches) -> Result<()> {
-    let (configuration, newest) = match from_file {
-        Some(inventory) => {
-            let configuration = Configuration {
-                inventory,
-                ..Configuration::default()
-            };
-            (configuration, None)
-        }
-        None => {
-            let in_force = session.in_force(None).await?;
-            (in_force.configuration, Some(in_force.head.generation))
-        }
+    let (configuration, newest) = if let Some(inventory) = from_file {
+        let configuration = Configuration {
+            inventory,
+            ..Configuration::default()
+        };
+        (configuration, None)
+    } else {
+        let in_force = session.in_force(None).await?;
+        (in_force.configuration, Some(in_force.head.generation))
     };
     let answers = ask_all(&configuration.inventory.entry_vms, args).await;
     let report = Report::new(&configuration, newest, answers);
--- a/tests/operator_commands.rs
+++ b/tests/operator_commands.rs
@@ -236,3 +236,36 @@
         assert_eq!(platform.rows("config/history/").len(), 1);
     });
 }
+
+/// Guards against a plan that differs from what the change does, and against a plan that changes
+/// something.
+#[test]
+fn plans_compare_with_the_configuration_in_force() {
+    run(|platform, operator| {
+        let plan = |rules| operator.run(&["plan", "--inventory", INVENTORY, "--rules", rules]);
+        assert_eq!(plan(RULES).code, 1);
+        operator.apply("0", "anna");
+        let same = plan(RULES);
+        assert_eq!(same.code, 0, "{}", same.err);
+        assert!(
+            same.out
+                .starts_with("compared with generation 1 in force\n")
+        );
+        let rules = std::fs::read_to_string(RULES).unwrap();
+        let drained = rules.replace("\"domains\": []", "\"domains\": [\"donau-1\"]");
+        assert_ne!(drained, rules);
+        let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("plan-drained.json");
+        std::fs::write(&path, drained).unwrap();
+        let seen = plan(path.to_str().unwrap());
+        assert_eq!(seen.code, 6, "{}", seen.err);
+        assert!(
+            seen.out
+                .contains("moves 16.67 % at once, 16.67 % in a minute, cap 10.00 %"),
+            "{}",
+            seen.out
+        );
+        assert_eq!(platform.rows("config/history/").len(), 1);
+        platform.set_faults(|f| f.down = true);
+        assert_eq!(plan(RULES).code, 4);
+    });
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,109 @@
+//! The commands `list` and `settings` write what scripts and entry VMs read.
+
+use std::path::Path;
+use std::process::Command;
+
+use config::Kind;
+
+const INVENTORY: &str = "examples/notensatz/inventory.json";
+const SECRET: &str = "a secret of this test";
+
+fn run(args: &[&str]) -> (i32, String, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_rosemaryglade"))
+        .args(args)
+        .output()
+        .expect("runs");
+    let text = |bytes| String::from_utf8(bytes).expect("text");
+    let code = output.status.code().expect("exit code");
+    (code, text(output.stdout), text(output.stderr))
+}
+
+/// Writes a key file for one test; tests use different names.
+fn key_file(name: &str, text: &str) -> String {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("temporary file");
+    path.display().to_string()
+}
+
+fn settings(vm: &str, keys: &str) -> (i32, String, String) {
+    let platform = "127.0.0.1:18010";
+    run(&[
+        "settings",
+        "--inventory",
+        INVENTORY,
+        "--vm",
+        vm,
+        "--platform",
+        platform,
+        "--key-file",
+        keys,
+    ])
+}
+
+/// Guards against settings that the entry VM, or the check against the inventory, refuses.
+#[test]
+fn settings_of_every_entry_vm_pass_the_check() {
+    let text = std::fs::read_to_string(INVENTORY).expect("example");
+    let inventory = config::parse_inventory(INVENTORY, &text).expect("valid");
+    let keys = key_file("keys.json", &format!("[{{ id: 7, secret: '{SECRET}' }},]"));
+    for vm in &inventory.entry_vms {
+        let (code, out, err) = settings(&vm.id, &keys);
+        assert_eq!(code, 0, "{err}");
+        let source = config::Source {
+            name: "settings",
+            text: &out,
+        };
+        let faults = config::check_file(Kind::Settings, source, Some(&inventory));
+        assert!(faults.is_empty(), "{faults:?}");
+        let settings = config::parse_settings("settings", &out).expect("valid");
+        assert_eq!(
+            (settings.keys[0].id, &*settings.keys[0].secret),
+            (7, SECRET)
+        );
+        let mut others = inventory.entry_vms.iter().filter(|v| v.id != vm.id);
+        let peer = others.find(|v| v.domain == vm.domain).expect("peer");
+        assert_eq!(settings.seeds[0], peer.peer_address);
+        assert!(settings.seeds.len() == 4 && !settings.seeds.contains(&vm.peer_address));
+    }
+}
+
+/// Guards against a secret in an error message, and against settings made from faulty input.
+#[test]
+fn faulty_input_gives_no_settings() {
+    let keys = key_file(
+        "good-keys.json",
+        &format!("[{{ id: 1, secret: '{SECRET}' }}]"),
+    );
+    assert_eq!(settings("nobody", &keys).0, 1);
+    assert_eq!(settings("donau-1-a", "no-such-file.json").0, 5);
+    for (name, text) in [
+        ("cut-keys.json", "[{ id: 1, secret: 'a secret of this test'"),
+        ("typed-keys.json", "[{ id: 'a secret of this test' }]"),
+        ("short-keys.json", "[{ id: 1, secret: 'of this test' }]"),
+        ("no-keys.json", "[]"),
+    ] {
+        let (code, out, err) = settings("donau-1-a", &key_file(name, text));
+        assert_eq!((code, &*out), (1, ""), "{name}: {err}");
+        assert!(
+            err.contains("error") && !err.contains("of this test"),
+            "{name}: {err}"
+        );
+    }
+}
+
+/// Guards against a list that leaves out machines or fields that scripts need.
+#[test]
+fn lists_name_every_machine() {
+    let (code, out, _) = run(&["list", "--inventory", INVENTORY, "servers"]);
+    assert_eq!((code, out.lines().count()), (0, 48));
+    assert_eq!(
+        out.lines().nth(12),
+        Some(
+            "id=bestelldienst-01 service=bestelldienst class=binding domain=donau-1 \
+             address=127.0.0.1:18421 slots=3 connections=330"
+        )
+    );
+    let (code, out, _) = run(&["list", "--inventory", INVENTORY, "entry-vms"]);
+    assert_eq!((code, out.lines().count()), (0, 12));
+    assert!(out.starts_with("id=donau-1-a domain=donau-1 caller_address=127.0.0.1:18101 "));
+}
