--- a/src/cmd/settings.rs
+++ b/src/cmd/settings.rs
@@ -68,17 +68,14 @@
 
 fn settings(args: &ArgMatches) -> Result<Settings, Code> {
     let path = |id: &str| args.get_one::<PathBuf>(id).ok_or(exit::USAGE);
-    let file = files::read(path("inventory")?)?;
-    let inventory = config::parse_inventory(&file.name, &file.text).map_err(|report| {
-        eprintln!("{}", report.current_context());
-        exit::FAULTS
-    })?;
+    let inventory_path = path("inventory")?;
+    let inventory = files::read_inventory(inventory_path)?;
     let id = args.get_one::<String>("vm").ok_or(exit::USAGE)?;
     let Some(vm) = inventory.entry_vms.iter().find(|vm| *vm.id == **id) else {
         let known: Vec<&str> = inventory.entry_vms.iter().map(|vm| &*vm.id).collect();
         eprintln!(
             "{}: error: entry VM \"{id}\" does not exist; use one of {}",
-            file.name,
+            inventory_path.display(),
             known.join(", ")
         );
         return Err(exit::FAULTS);
@@ -95,7 +92,8 @@
         keys: keys(path("key-file")?)?,
         ..Settings::default()
     };
-    checked(settings)
+    check(&settings)?;
+    Ok(settings)
 }
 
 /// Reads the keys; no message repeats a secret.
@@ -111,13 +109,16 @@
     })
 }
 
-/// Passes on settings that an entry VM accepts.
-fn checked(settings: Settings) -> Result<Settings, Code> {
-    let text = serde_json::to_string(&settings).unwrap_or_default();
-    config::parse_settings(&format!("settings of {}", settings.id), &text).map_err(|report| {
-        eprintln!("{}", report.current_context());
-        exit::FAULTS
-    })
+/// Refuses settings that an entry VM would refuse.
+fn check(settings: &Settings) -> Result<(), Code> {
+    let text = serde_json::to_string(settings).unwrap_or_default();
+    let name = format!("settings of {}", settings.id);
+    config::parse_settings(&name, &text)
+        .map(drop)
+        .map_err(|report| {
+            eprintln!("{}", report.current_context());
+            exit::FAULTS
+        })
 }
 
 /// Peer addresses that are asked for the configuration when the platform cannot be reached.
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -71,7 +71,10 @@
 
 /// Runs the command.
 pub fn run(args: &ArgMatches) -> ExitCode {
-    let from_file = match args.get_one::<PathBuf>("inventory").map(read_inventory) {
+    let from_file = match args
+        .get_one::<PathBuf>("inventory")
+        .map(|path| files::read_inventory(path))
+    {
         Some(Ok(inventory)) => Some(inventory),
         Some(Err(code)) => return code.into(),
         None => None,
@@ -79,27 +82,16 @@
     operator::run(args, |session| status(session, from_file, args))
 }
 
-fn read_inventory(path: &PathBuf) -> Result<Inventory> {
-    let file = files::read(path)?;
-    config::parse_inventory(&file.name, &file.text).map_err(|report| {
-        eprintln!("{}", report.current_context());
-        exit::FAULTS
-    })
-}
-
 async fn status(session: Session, from_file: Option<Inventory>, args: &ArgMatches) -> Result<()> {
-    let (configuration, newest) = match from_file {
-        Some(inventory) => {
-            let configuration = Configuration {
-                inventory,
-                ..Configuration::default()
-            };
-            (configuration, None)
-        }
-        None => {
-            let in_force = session.in_force(None).await?;
-            (in_force.configuration, Some(in_force.head.generation))
-        }
+    let (configuration, newest) = if let Some(inventory) = from_file {
+        let configuration = Configuration {
+            inventory,
+            ..Configuration::default()
+        };
+        (configuration, None)
+    } else {
+        let in_force = session.in_force(None).await?;
+        (in_force.configuration, Some(in_force.head.generation))
     };
     let answers = ask_all(&configuration.inventory.entry_vms, args).await;
     let report = Report::new(&configuration, newest, answers);
