Send one heartbeat exchange per pair and rotation

Cause: an exchange carries heartbeats both ways, yet each end started its own, so every pair exchanged twice per rotation: 44.9 KB/s per node at 43 peers. Change: a peer that was heard within the last half of the rotation is not contacted. Ruled out: a larger round; it would suspect a silent VM later.

--- a/components/entry/src/agents/heartbeats.rs
+++ b/components/entry/src/agents/heartbeats.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_channel::Receiver;
 use config::{EntryVmId, Generation, ServiceId};
@@ -26,13 +27,10 @@
 }
 
 /// Sends heartbeats at each tick.
-pub async fn run(node: Arc<Node>, ticks: Receiver<std::time::Duration>) {
+pub async fn run(node: Arc<Node>, ticks: Receiver<Duration>) {
     while ticks.recv().await.is_ok() {
         let now = node.now();
-        let contacts = node
-            .lock_membership()
-            .peers_to_contact(now, &mut fastrand::Rng::new());
-        for peer in contacts {
+        for peer in due(&node, now) {
             runtime::spawn(exchange(node.clone(), peer)).detach();
         }
         node.refresh_split();
@@ -41,6 +39,22 @@
     }
 }
 
+/// Returns the peers to contact in this round.
+///
+/// An exchange carries heartbeats both ways, so a peer that was heard within the last half of a
+/// rotation is left out. Of the two exchanges that each pair would have per rotation, one remains;
+/// when it fails, the other end makes it up in its own turn.
+fn due(node: &Node, now: Duration) -> Vec<EntryVmId> {
+    let mut membership = node.lock_membership();
+    let contacts = membership.peers_to_contact(now, &mut fastrand::Rng::new());
+    let recent = membership.cover() / 2;
+    let is_due = |peer: &EntryVmId| {
+        let heard = membership.last_heartbeat(peer);
+        heard.is_none_or(|(at, _)| now.saturating_sub(at) >= recent)
+    };
+    contacts.into_iter().filter(is_due).collect()
+}
+
 /// Sends one heartbeat and takes the peer's own in return.
 async fn exchange(node: Arc<Node>, peer: EntryVmId) {
     let Some(address) = node
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -188,6 +188,11 @@
         contacts
     }
 
+    /// Time in which the rotation covers all peers.
+    pub fn cover(&self) -> Duration {
+        self.settings.cover(self.peers.len())
+    }
+
     /// Whether a peer is heard; `None` if it is not in the configuration.
     pub fn state_of(&self, vm: &str, now: Duration) -> Option<Liveness> {
         let peer = self.peers.get(vm)?;
