Send heartbeats without field names and with a hash of the counted VMs

Cause: a heartbeat named every VM that its sender counts (22 B per peer and exchange) and every field, though the receiver only asks whether the set equals its own. Change: the message is a tuple with a 128-bit hash of the set; a receiver that counts another set takes it as an empty one, which never equals a target.

--- a/components/entry/src/agents/heartbeats.rs
+++ b/components/entry/src/agents/heartbeats.rs
@@ -16,16 +16,88 @@
 pub const PATH: &str = "/peer/heartbeat";
 
 /// Heartbeat and the generation whose slot split its sender has settled.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Wire", into = "Wire")]
 pub struct Message {
-    /// Heartbeat.
+    /// Heartbeat; `counted` is sent as a hash only and empty here.
     pub heartbeat: HeartbeatWire,
+    /// Hash of the VMs that the sender counts in its slot split.
+    pub counted: MembersHash,
     /// Newest generation under which everything in use fits the sender's slots.
     pub settled: Generation,
     /// Free slots per service at the sender.
     pub free: BTreeMap<ServiceId, u32>,
 }
 
+/// Half of a hash of VM ids each.
+pub type MembersHash = (u64, u64);
+
+/// Message as sent: without field names and without the ids of all VMs of the domain, which would
+/// make it grow with the domain.
+#[derive(Clone, Serialize, Deserialize)]
+struct Wire(
+    Box<str>,
+    u64,
+    u64,
+    u8,
+    u64,
+    u32,
+    MembersHash,
+    Generation,
+    BTreeMap<ServiceId, u32>,
+);
+
+impl From<Message> for Wire {
+    fn from(m: Message) -> Self {
+        let hb = m.heartbeat;
+        Wire(
+            hb.vm,
+            hb.incarnation,
+            hb.uptime_ms,
+            hb.state,
+            hb.generation,
+            hb.free_slots,
+            m.counted,
+            m.settled,
+            m.free,
+        )
+    }
+}
+
+impl From<Wire> for Message {
+    fn from(w: Wire) -> Self {
+        let Wire(vm, incarnation, uptime_ms, state, generation, free_slots, counted, settled, free) =
+            w;
+        Message {
+            heartbeat: HeartbeatWire {
+                vm,
+                incarnation,
+                uptime_ms,
+                state,
+                generation,
+                free_slots,
+                counted: Vec::new(),
+            },
+            counted,
+            settled,
+            free,
+        }
+    }
+}
+
+/// Returns the hash of a sorted set of VM ids.
+pub fn members_hash(members: &[EntryVmId]) -> MembersHash {
+    let mut hasher = blake3::Hasher::new();
+    for id in members {
+        // With the lengths, two sets never hash the same bytes.
+        hasher.update(&(id.len() as u64).to_be_bytes());
+        hasher.update(id.as_bytes());
+    }
+    let hash = *hasher.finalize().as_bytes();
+    let half = |i: usize| hash[i..i + 8].iter().fold(0, |n, b| n << 8 | u64::from(*b));
+    (half(0), half(8))
+}
+
 /// Sends heartbeats at each tick.
 pub async fn run(node: Arc<Node>, ticks: Receiver<Duration>) {
     while ticks.recv().await.is_ok() {
@@ -92,19 +164,34 @@
         0
     };
     Message {
-        heartbeat: HeartbeatWire::from(&heartbeat),
+        counted: members_hash(&heartbeat.counted),
+        heartbeat: HeartbeatWire {
+            counted: Vec::new(),
+            ..HeartbeatWire::from(&heartbeat)
+        },
         settled,
         free,
     }
 }
 
+/// Takes the VMs that a peer counts from their hash, and its heartbeat into the membership.
+fn hear(node: &Node, heartbeat: &mut Heartbeat, counted: MembersHash) -> Heard {
+    let mut membership = node.lock_membership();
+    let own = membership.counted();
+    if members_hash(own) == counted {
+        // Any other set only tells that the peer does not count the same VMs, as an empty one does.
+        heartbeat.counted = own.clone();
+    }
+    membership.on_heartbeat(heartbeat, node.now())
+}
+
 /// Takes a peer's heartbeat.
 pub async fn take(node: &Arc<Node>, message: Message) {
-    let Ok(heartbeat) = Heartbeat::try_from(message.heartbeat) else {
+    let Ok(mut heartbeat) = Heartbeat::try_from(message.heartbeat) else {
         metrics::counter!("heartbeats_invalid_total").increment(1);
         return;
     };
-    let heard = node.lock_membership().on_heartbeat(&heartbeat, node.now());
+    let heard = hear(node, &mut heartbeat, message.counted);
     match heard {
         Heard::Accepted | Heard::NewIncarnation => {
             node.set_peer_settled(&heartbeat.vm, message.settled);
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -35,7 +35,9 @@
         PATH as DIGEST_PATH, Question as DigestQuestion, Rotation, dead_after,
         period as digest_period,
     };
-    pub use crate::agents::heartbeats::{Message as HeartbeatMessage, PATH as HEARTBEAT_PATH};
+    pub use crate::agents::heartbeats::{
+        Message as HeartbeatMessage, PATH as HEARTBEAT_PATH, members_hash,
+    };
 }
 
 pub use error::{Error, Result};
--- a/components/load/src/capacity/messages.rs
+++ b/components/load/src/capacity/messages.rs
@@ -11,7 +11,9 @@
 use async_net::TcpListener;
 use binding::{Context, KeyRing};
 use config::KeySettings;
-use entry::messages::{DIGEST_PATH, DigestQuestion, HEARTBEAT_PATH, HeartbeatMessage};
+use entry::messages::{
+    DIGEST_PATH, DigestQuestion, HEARTBEAT_PATH, HeartbeatMessage, members_hash,
+};
 use http::Request;
 use http::client::ClientOptions;
 use http::peer::Signature;
@@ -67,7 +69,9 @@
 
 fn heartbeat(peers: usize) -> HeartbeatMessage {
     let free = SERVICES.iter().map(|s| (Box::from(*s), 150));
-    let counted = (0..=peers).map(|n| format!("donau-1-{n:02}").into());
+    let counted: Vec<_> = (0..=peers)
+        .map(|n| format!("donau-1-{n:02}").into())
+        .collect();
     HeartbeatMessage {
         heartbeat: HeartbeatWire {
             vm: "donau-1-02".into(),
@@ -76,8 +80,9 @@
             state: 1,
             generation: 124_100,
             free_slots: 600,
-            counted: counted.collect(),
+            counted: Vec::new(),
         },
+        counted: members_hash(&counted),
         settled: 124_100,
         free: free.collect::<BTreeMap<_, _>>(),
     }
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -188,6 +188,11 @@
         contacts
     }
 
+    /// VMs that this process counts in its slot split, sorted.
+    pub fn counted(&self) -> &Members {
+        self.split.target()
+    }
+
     /// Time in which the rotation covers all peers.
     pub fn cover(&self) -> Duration {
         self.settings.cover(self.peers.len())
