Show the shares in force in the status

Cause: the movement of shares could not be observed from outside. Ruled out: reading all parts in one expression; locks taken in it are held to its end, and the steering takes the membership's lock while it holds its own. A trial of that form deadlocked. Change: the status lists the base shares per service; each lock is released before the next.

--- a/components/entry/src/operator.rs
+++ b/components/entry/src/operator.rs
@@ -28,6 +28,8 @@
     binding_records: usize,
     /// Entry VMs that look-ups name.
     candidates: Vec<EntryVmId>,
+    /// Base shares in force here, per service and failure domain.
+    shares: BTreeMap<ServiceId, routing::Shares>,
 }
 
 /// Serves `/status`, `/metrics` and `/config`; none of them shows a key.
@@ -53,6 +55,11 @@
 
 fn status(node: &Node) -> Status {
     let now = node.now();
+    // Each lock is released before the next is taken; inside one expression they would be held
+    // together, in another order than the agents take them.
+    let binding_records = node.lock_work().records.len();
+    let candidates = node.lock_membership().look_up_candidates(now);
+    let shares = node.steers.shares();
     Status {
         id: node.identity.vm.clone(),
         domain: node.settings.domain.clone(),
@@ -60,7 +67,8 @@
         stopping: node.is_stopping(),
         uptime_s: now.as_secs(),
         free_slots: node.admission.free_slots(),
-        binding_records: node.lock_work().records.len(),
-        candidates: node.lock_membership().look_up_candidates(now),
+        binding_records,
+        candidates,
+        shares,
     }
 }
