--- a/components/entry/src/node.rs
+++ b/components/entry/src/node.rs
@@ -23,6 +23,7 @@
 use crate::in_force::InForce;
 use crate::links::Links;
 use crate::loans::Loans;
+use crate::look_up::Views;
 use crate::reach::{self, Reachable};
 use crate::split::own_parts;
 use crate::steer::Steers;
@@ -52,6 +53,8 @@
     pub loans: Loans,
     /// Links to other regions.
     pub links: Links,
+    /// Views of the entry VMs for look-ups.
+    pub views: Views,
     /// Claims of caller-supplied keys.
     pub claims: Claims,
     /// Client of the platform.
@@ -88,6 +91,7 @@
             loans: Loans::default(),
             links: Links::default(),
             free: Mutex::new(BTreeMap::new()),
+            views: Views::default(),
             claims: Claims::new(identity.clone()),
             membership: Mutex::new(membership),
             settled: Mutex::new(BTreeMap::new()),
--- a/components/entry/src/operator.rs
+++ b/components/entry/src/operator.rs
@@ -29,6 +29,9 @@
     pub binding_records: usize,
     /// Entry VMs that look-ups name.
     pub candidates: Vec<EntryVmId>,
+    /// Base shares in force here, per service and failure domain.
+    #[serde(default)]
+    pub shares: BTreeMap<ServiceId, routing::Shares>,
     /// Other entry VMs of the failure domain.
     #[serde(default)]
     pub peers: BTreeMap<EntryVmId, PeerStatus>,
@@ -106,9 +109,11 @@
 
 fn status(node: &Node) -> Status {
     let now = node.now();
-    // Each lock is released before the next is taken.
+    // Each lock is released before the next is taken; inside one expression they would be held
+    // together, in another order than the agents take them.
     let binding_records = node.lock_work().records.len();
     let candidates = node.lock_membership().look_up_candidates(now);
+    let shares = node.steers.shares();
     Status {
         id: node.identity.vm.clone(),
         domain: node.settings.domain.clone(),
@@ -120,6 +125,7 @@
         candidates,
         peers: peers(node),
         servers: node.admission.servers(),
+        shares,
     }
 }
 
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -188,6 +188,16 @@
         contacts
     }
 
+    /// VMs that this process counts in its slot split, sorted.
+    pub fn counted(&self) -> &Members {
+        self.split.target()
+    }
+
+    /// Time in which the rotation covers all peers.
+    pub fn cover(&self) -> Duration {
+        self.settings.cover(self.peers.len())
+    }
+
     /// Whether a peer is heard; `None` if it is not in the configuration.
     pub fn state_of(&self, vm: &str, now: Duration) -> Option<Liveness> {
         let peer = self.peers.get(vm)?;
