--- a/components/membership/src/heartbeat.rs
+++ b/components/membership/src/heartbeat.rs
@@ -14,6 +14,10 @@
 
 const MAX_NAME: usize = 64;
 const MAX_COUNTED: usize = 128;
+/// Unit of relayed ages.
+const AGE_UNIT: Duration = Duration::from_millis(100);
+/// Stands for a VM that was not heard for longer than an age can tell.
+const NOT_HEARD: u8 = u8::MAX;
 
 /// Why a heartbeat is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,6 +28,8 @@
     State(u8),
     /// More than 128 ids are counted.
     Counted(usize),
+    /// The counted ids are not sorted, or do not have one age each.
+    Layout,
 }
 
 impl fmt::Display for HeartbeatError {
@@ -42,6 +48,9 @@
                     "heartbeat counts {n} VMs; at most {MAX_COUNTED} are valid"
                 )
             }
+            HeartbeatError::Layout => {
+                f.write_str("heartbeat ids are not sorted or do not have one age each")
+            }
         }
     }
 }
@@ -76,6 +85,26 @@
     pub free_slots: u32,
     /// VMs that it counts in its slot split, sorted.
     pub counted: Members,
+    /// Age of the last heartbeat that the sender got from each of them itself, in units of 100 ms;
+    /// 255 for none. With one age per VM, a domain of 44 detects silence as fast as one of 2,
+    /// although two of its VMs exchange heartbeats only every 3 s.
+    pub ages: Box<[u8]>,
+}
+
+impl Heartbeat {
+    /// Age as sent.
+    pub(crate) fn age_to_wire(age: Option<Duration>) -> u8 {
+        let units = age.map(|age| age.as_millis().div_ceil(AGE_UNIT.as_millis()));
+        let byte = units.and_then(|units| u8::try_from(units).ok());
+        byte.unwrap_or(NOT_HEARD)
+    }
+
+    /// VMs that the sender heard, with the age of what it heard.
+    pub(crate) fn relayed(&self) -> impl Iterator<Item = (&EntryVmId, Duration)> {
+        let ages = self.counted.iter().zip(&self.ages);
+        let heard = ages.filter(|(_, age)| **age != NOT_HEARD);
+        heard.map(|(vm, age)| (vm, AGE_UNIT * u32::from(*age)))
+    }
 }
 
 /// Heartbeat as sent.
@@ -93,8 +122,10 @@
     pub generation: u64,
     /// Slots that it could lend or use now.
     pub free_slots: u32,
-    /// VMs that it counts in its slot split.
+    /// VMs that it counts in its slot split, sorted.
     pub counted: Vec<Box<str>>,
+    /// Age of the sender's last heartbeat from each of them, in units of 100 ms; 255 for none.
+    pub ages: Vec<u8>,
 }
 
 impl From<&Heartbeat> for HeartbeatWire {
@@ -107,6 +138,7 @@
             generation: hb.generation,
             free_slots: hb.free_slots,
             counted: hb.counted.to_vec(),
+            ages: hb.ages.to_vec(),
         }
     }
 }
@@ -128,9 +160,10 @@
         if !is_name(&wire.vm) || !wire.counted.iter().all(|name| is_name(name)) {
             return Err(Report::new(HeartbeatError::Name));
         }
-        let mut counted = wire.counted;
-        counted.sort_unstable();
-        counted.dedup();
+        let is_sorted = wire.counted.is_sorted_by(|a, b| a < b);
+        if !is_sorted || wire.counted.len() != wire.ages.len() {
+            return Err(Report::new(HeartbeatError::Layout));
+        }
         Ok(Heartbeat {
             vm: wire.vm,
             incarnation: wire.incarnation,
@@ -138,7 +171,8 @@
             state,
             generation: wire.generation,
             free_slots: wire.free_slots,
-            counted: counted.into(),
+            counted: wire.counted.into(),
+            ages: wire.ages.into(),
         })
     }
 }
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -128,19 +128,31 @@
             generation,
             free_slots,
             counted: self.split.target().clone(),
+            ages: self.ages(now),
         }
     }
 
+    fn ages(&self, now: Duration) -> Box<[u8]> {
+        let heard = |vm: &EntryVmId| {
+            let (at, _) = self.peers.get(vm)?.heard()?;
+            Some(now.saturating_sub(at))
+        };
+        let counted = self.split.target().iter();
+        counted
+            .map(|vm| Heartbeat::age_to_wire(heard(vm)))
+            .collect()
+    }
+
     /// Takes a heartbeat of a peer.
     pub fn on_heartbeat(&mut self, hb: &Heartbeat, now: Duration) -> Heard {
         if hb.vm == self.vm {
             return Heard::OwnId;
         }
-        let is_dead = self.state_of(&hb.vm, now) == Some(Liveness::Dead);
         let Some(peer) = self.peers.get_mut(&hb.vm) else {
             return Heard::UnknownVm;
         };
-        let heard = match peer.update(hb, now, is_dead) {
+        let is_silent = now.saturating_sub(peer.last_heard()) >= self.settings.dead_after;
+        let heard = match peer.update(hb, now, is_silent) {
             Update::Newer => Heard::Accepted,
             Update::Replaced => {
                 self.split.restart_agreement();
@@ -149,6 +161,11 @@
             Update::Repeated => return Heard::Repeated,
             Update::Old => return Heard::OldIncarnation,
         };
+        for (vm, age) in hb.relayed() {
+            if let Some(peer) = self.peers.get_mut(vm) {
+                peer.on_relayed(now.saturating_sub(age));
+            }
+        }
         self.advance(now);
         heard
     }
@@ -191,11 +208,10 @@
     /// Whether a peer is heard; `None` if it is not in the configuration.
     pub fn state_of(&self, vm: &str, now: Duration) -> Option<Liveness> {
         let peer = self.peers.get(vm)?;
-        let silence = self.silence(peer, now);
-        let peers = self.peers.len();
-        Some(if silence >= self.settings.dead_after(peers) {
+        let silence = self.silence(peer.last_sign(), now);
+        Some(if silence >= self.settings.dead_after {
             Liveness::Dead
-        } else if silence >= self.settings.suspect_after(peers) || peer.heard().is_none() {
+        } else if silence >= self.settings.suspect_after || peer.heard().is_none() {
             Liveness::Suspected
         } else {
             Liveness::Alive
@@ -257,12 +273,12 @@
         now.saturating_sub(self.last_round) >= self.settings.fence_after
     }
 
-    /// How long a peer was silent while this process listened.
-    fn silence(&self, peer: &Peer, now: Duration) -> Duration {
+    /// Time since the last sign of a peer in which this process listened.
+    fn silence(&self, last_sign: Duration, now: Duration) -> Duration {
         if self.was_paused(now) {
             return Duration::ZERO;
         }
-        now.saturating_sub(peer.last_sign().max(self.listening_since))
+        now.saturating_sub(last_sign.max(self.listening_since))
     }
 
     fn is_listed_leaving(&self, vm: &str) -> bool {
@@ -283,28 +299,31 @@
         let is_gone =
             |vm: &str| self.is_listed_gone(vm) && self.state_of(vm, now) == Some(Liveness::Dead);
         let peers = self.peers.keys().filter(|vm| !is_gone(vm));
-        let mut target: Vec<EntryVmId> = peers.chain([&self.vm]).cloned().collect();
-        target.sort_unstable();
-        let target: Members = target.into();
+        let mut members: Vec<&EntryVmId> = peers.chain([&self.vm]).collect();
+        members.sort_unstable();
+        if !members.iter().copied().eq(self.split.target()) {
+            let target = members.into_iter().cloned().collect();
+            self.split.retarget(target);
+        }
+        let target = self.split.target();
         let is_agreed = target
             .iter()
             .filter_map(|vm| self.peers.get(vm))
-            .all(|peer| self.confirms(peer, &target, now));
+            .all(|peer| self.confirms(peer, target, now));
         let settle = match target.len() {
             1 => Duration::ZERO,
             _ => self.settings.settle(self.peers.len()),
         };
-        self.split.retarget(target);
         self.split.agree(is_agreed, settle, now);
     }
 
     /// Whether a peer announced `target` in a fresh heartbeat, or has been silent for so long that
     /// the split does not wait for it.
     fn confirms(&self, peer: &Peer, target: &Members, now: Duration) -> bool {
-        let fresh = self.settings.suspect_after(self.peers.len());
+        let fresh = self.settings.fresh(self.peers.len());
         let is_confirmed = peer
             .heard()
             .is_some_and(|(at, hb)| now.saturating_sub(at) < fresh && hb.counted == *target);
-        is_confirmed || self.silence(peer, now) >= self.settings.confirm_patience
+        is_confirmed || self.silence(peer.last_heard(), now) >= self.settings.confirm_patience
     }
 }
--- a/components/membership/src/peer.rs
+++ b/components/membership/src/peer.rs
@@ -37,6 +37,8 @@
 #[derive(Debug)]
 pub(crate) struct Peer {
     known_since: Duration,
+    /// When another peer heard it, as far as that peer told.
+    relayed: Duration,
     heard: Option<(Duration, Heartbeat)>,
     /// Replaced incarnations, newest last. They are never accepted again.
     seen: SmallVec<[Incarnation; 2]>,
@@ -46,6 +48,7 @@
     pub(crate) fn new(now: Duration) -> Peer {
         Peer {
             known_since: now,
+            relayed: now,
             heard: None,
             seen: SmallVec::new(),
         }
@@ -56,13 +59,24 @@
         self.heard.as_ref().map(|(at, hb)| (*at, hb))
     }
 
-    /// When it was last heard, or became known.
-    pub(crate) fn last_sign(&self) -> Duration {
+    /// When it was last heard by this process, or became known.
+    pub(crate) fn last_heard(&self) -> Duration {
         self.heard.as_ref().map_or(self.known_since, |(at, _)| *at)
     }
 
-    /// Takes a heartbeat. `is_dead` tells whether the known process counts as dead.
-    pub(crate) fn update(&mut self, hb: &Heartbeat, now: Duration, is_dead: bool) -> Update {
+    /// When it was last heard by this process or another one, or became known.
+    pub(crate) fn last_sign(&self) -> Duration {
+        self.last_heard().max(self.relayed)
+    }
+
+    /// Another peer heard it at `at`.
+    pub(crate) fn on_relayed(&mut self, at: Duration) {
+        self.relayed = self.relayed.max(at);
+    }
+
+    /// Takes a heartbeat. `is_silent` tells whether this process has not heard the
+    /// known one for so long that it counts as dead.
+    pub(crate) fn update(&mut self, hb: &Heartbeat, now: Duration, is_silent: bool) -> Update {
         let Some((at, known)) = &mut self.heard else {
             self.heard = Some((now, hb.clone()));
             return Update::Replaced;
@@ -80,7 +94,7 @@
         }
         // A process that was running before the known one was last heard is not its successor.
         // The rule ends with the known process: after own pauses the times of arrival mislead.
-        let is_older = !is_dead && now.saturating_sub(hb.uptime) < *at;
+        let is_older = !is_silent && now.saturating_sub(hb.uptime) < *at;
         if is_older || self.seen.contains(&hb.incarnation) {
             return Update::Old;
         }
--- a/components/membership/src/settings.rs
+++ b/components/membership/src/settings.rs
@@ -48,21 +48,16 @@
         self.round * peers.div_ceil(self.fan_out.max(1)) as u32
     }
 
-    /// Silence after which one of `peers` peers is suspected. Beyond 16 peers a rotation takes
-    /// longer than 1 s, and a fixed 1.5 s would suspect peers that are merely not due yet.
-    pub fn suspect_after(&self, peers: usize) -> Duration {
-        self.suspect_after.max(self.cover(peers) * 3 / 2)
-    }
-
-    /// Silence after which one of `peers` peers is considered dead.
-    pub fn dead_after(&self, peers: usize) -> Duration {
-        self.dead_after.max(self.cover(peers) * 3)
+    /// Age up to which the heartbeat of one of `peers` peers confirms the slot split: a rotation
+    /// and a late delivery, but at least the time of suspicion.
+    pub fn fresh(&self, peers: usize) -> Duration {
+        self.suspect_after.max(self.cover(peers) + self.delivery)
     }
 
     /// How long all peers must agree on a set of members before older sets are given up. It
     /// exceeds the age of any announcement that a peer may still rely on: paused at the sender,
-    /// under way, paused at the receiver, and then fresh until suspicion.
+    /// under way, paused at the receiver, and then fresh.
     pub fn settle(&self, peers: usize) -> Duration {
-        self.suspect_after(peers) + self.fence_after * 2 + self.delivery
+        self.fresh(peers) + self.fence_after * 2 + self.delivery
     }
 }
