membership: announce a new split only when no request occupies a slot outside it

Cause: a request that is already running keeps its slot after the share moved; a joining VM could send into the same slot. Ruled out: a fixed delay before joining; long responses run longer than any fixed time. Announcing in the step that changes the target: the split test then found a slot used twice, because the answer to 'is a slot outside occupied' was older than the change.

--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -127,7 +127,7 @@
             state: self.state,
             generation,
             free_slots,
-            counted: self.split.target().clone(),
+            counted: self.split.announced().clone(),
             ages: self.ages(now),
         }
     }
@@ -137,7 +137,7 @@
             let (at, _) = self.peers.get(vm)?.heard()?;
             Some(now.saturating_sub(at))
         };
-        let counted = self.split.target().iter();
+        let counted = self.split.announced().iter();
         counted
             .map(|vm| Heartbeat::age_to_wire(heard(vm)))
             .collect()
@@ -269,6 +269,13 @@
             .max_by_key(|(generation, _)| *generation)
     }
 
+    /// No request of this process occupies a slot that `split_members` does not give to it: peers
+    /// may be told. Call it before each round if that is so; a change of the split makes no
+    /// progress without it.
+    pub fn announce_split(&mut self) {
+        self.split.announce();
+    }
+
     fn was_paused(&self, now: Duration) -> bool {
         now.saturating_sub(self.last_round) >= self.settings.fence_after
     }
--- a/components/membership/src/split.rs
+++ b/components/membership/src/split.rs
@@ -1,8 +1,9 @@
 //! Agreement on the members of the slot split.
 //!
-//! Each VM announces the set that it wants to use (`target`) in its heartbeats, and uses only
-//! slots that every set it holds gives to it. It holds each set that it announced until all
-//! members have agreed on a newer one for `MemberSettings::settle`. Two VMs that hear each other
+//! Each VM has a set that it wants to use (`target`), and uses only slots that every set it holds
+//! gives to it. It holds each target until all members have agreed on a newer one for
+//! `MemberSettings::settle`. It announces its target in heartbeats as soon as no request of its
+//! own occupies a slot that the target takes away. Two VMs that hear each other
 //! therefore always hold a common set, and one set never gives a slot to two VMs, however the
 //! shares are computed from it. A starting VM holds what it announced so far, and uses its share
 //! as soon as all members announce its target.
@@ -34,15 +35,17 @@
 
 #[derive(Debug, Default)]
 pub(crate) struct SplitState {
-    /// Set announced now.
+    /// Set wanted now.
     target: Members,
-    /// Sets announced and not yet given up.
+    /// Set sent in heartbeats; it is always held.
+    announced: Members,
+    /// Targets that are not yet given up.
     held: SmallVec<[Members; 2]>,
     /// Peers have confirmed this VM.
     joined: bool,
     /// A set could not be held: settle before joining.
     overflow: bool,
-    /// Since when all members have announced the target.
+    /// Since when all members, this one included, have announced the target.
     agreed_since: Option<Duration>,
 }
 
@@ -51,6 +54,16 @@
         &self.target
     }
 
+    pub(crate) fn announced(&self) -> &Members {
+        &self.announced
+    }
+
+    pub(crate) fn announce(&mut self) {
+        if self.announced != self.target {
+            self.announced = self.target.clone();
+        }
+    }
+
     pub(crate) fn retarget(&mut self, target: Members) {
         if self.target == target {
             return;
@@ -69,7 +82,7 @@
 
     /// Takes whether all other members announce the target; `settle` is zero without any.
     pub(crate) fn agree(&mut self, is_agreed: bool, settle: Duration, now: Duration) {
-        if !is_agreed {
+        if !is_agreed || self.announced != self.target {
             self.agreed_since = None;
             return;
         }
--- a/components/membership/tests/domain/mod.rs
+++ b/components/membership/tests/domain/mod.rs
@@ -8,10 +8,16 @@
 use membership::{Heartbeat, MemberSettings, Membership, Split};
 
 pub const STEP: u64 = 50;
+pub const SLOTS: usize = 12;
 const ROUND: u64 = 500;
 /// Lists of the platform lag by up to eight of its updates every 500 ms.
 const LIST_LAG: usize = 8;
 
+/// Gives slots to members in a way that moves nearly all of them when a member comes or goes.
+fn gives(members: &[EntryVmId], slot: usize, vm: &EntryVmId) -> bool {
+    members[slot * 7 % members.len()] == *vm
+}
+
 pub struct Node {
     pub vm: EntryVmId,
     pub membership: Membership,
@@ -23,8 +29,12 @@
     pub unlisted_until: u64,
     /// It held a share in this incarnation.
     pub has_joined: bool,
-    /// Share in use; it stays in use while the process is frozen.
+    /// Newest VM list that it took.
+    pub list: BTreeSet<EntryVmId>,
+    /// Share at the last step in which the process ran.
     pub split: Split,
+    /// Until when a request occupies each slot; requests of a frozen process go on.
+    pub busy_until: [u64; SLOTS],
     phase: u64,
 }
 
@@ -63,7 +73,9 @@
                 cut_until: 0,
                 unlisted_until: 0,
                 has_joined: false,
+                list: BTreeSet::new(),
                 split: Split::default(),
+                busy_until: [0; SLOTS],
                 phase: domain.rng.u64(0..ROUND / STEP) * STEP,
             };
             domain.nodes.push(node);
@@ -89,6 +101,7 @@
         self.nodes[i].dead_until = self.now + down;
         self.nodes[i].has_joined = false;
         self.nodes[i].split = Split::default();
+        self.nodes[i].busy_until = [0; SLOTS];
         self.queue.retain(|_, (to, ..)| *to != i);
     }
 
@@ -129,6 +142,17 @@
             let node = &mut self.nodes[i];
             node.split = node.membership.split_members(uptime);
             node.has_joined |= !node.split.sets.is_empty();
+            let mut is_occupied = false;
+            for (slot, until) in node.busy_until.iter_mut().enumerate() {
+                let is_mine = node.split.is_mine(|members| gives(members, slot, &node.vm));
+                if *until <= self.now && is_mine && self.rng.u8(0..4) == 0 {
+                    *until = self.now + self.rng.u64(STEP..3_000);
+                }
+                is_occupied |= *until > self.now && !is_mine;
+            }
+            if !is_occupied {
+                node.membership.announce_split();
+            }
         }
     }
 
@@ -144,6 +168,7 @@
         let uptime = self.uptime(i);
         if !self.lists.is_empty() && self.rng.u8(0..4) == 0 {
             let list = self.lists[self.rng.usize(0..self.lists.len())].clone();
+            self.nodes[i].list.clone_from(&list);
             self.nodes[i].membership.on_vm_list(list, [], uptime);
         }
         for peer in self.nodes[i]
