membership: test shares after a pause and stale confirmations

Cause: the random split test did not fail when the pause check or the age check of confirmations was switched off: it counts pairs in the residual case out, and never cuts one direction only. Change: two direct tests in tests/members.rs.

--- a/components/membership/tests/members.rs
+++ b/components/membership/tests/members.rs
@@ -190,3 +190,69 @@
     assert!(free(&m, 3_000) > 70.0);
     assert!(free(&m, 17_000).abs() < 1e-9);
 }
+
+/// Exchanges heartbeats between two VMs in every round.
+fn exchange(a: &mut Membership, b: &mut Membership, from: u64, to: u64) {
+    for now in (from..=to).step_by(500) {
+        for m in [&mut *a, &mut *b] {
+            pass(m, now, now);
+            m.announce_split();
+        }
+        a.on_heartbeat(&b.heartbeat(1, 0, ms(now)), ms(now));
+        b.on_heartbeat(&a.heartbeat(1, 0, ms(now)), ms(now));
+    }
+}
+
+/// Guards against a process that uses its old share right after a pause in which the VM list
+/// omitted it and its peer took the share over.
+#[test]
+fn share_after_a_pause() {
+    let vms = ["a", "b"].map(EntryVmId::from);
+    let mut a = membership(&["a", "b"]);
+    let mut b = Membership::new(MemberSettings::default(), "b".into(), 1, vms.clone(), ms(0));
+    exchange(&mut a, &mut b, 0, 10_000);
+    assert_eq!(a.split_members(ms(10_000)).sets[..], [vms.clone().into()]);
+    b.on_vm_list(["b".into()], [], ms(10_000));
+    pass(&mut b, 10_500, 16_000);
+    b.announce_split();
+    pass(&mut b, 16_500, 20_000);
+    assert_eq!(b.split_members(ms(20_000)).sets[..], [["b".into()].into()]);
+    assert!(a.split_members(ms(20_000)).sets.is_empty());
+    pass(&mut a, 20_000, 20_000);
+    a.announce_split();
+    assert!(a.split_members(ms(20_000)).sets.is_empty());
+    exchange(&mut a, &mut b, 20_500, 21_500);
+    assert!(!a.split_members(ms(21_500)).sets.is_empty());
+    assert_eq!(b.split_members(ms(21_500)).sets.len(), 2);
+}
+
+/// Guards against a set that is given up on the word of a peer that is silent since.
+#[test]
+fn stale_confirmation() {
+    let mut a = membership(&["a", "b"]);
+    let b = |uptime| Heartbeat {
+        counted: ["a", "b"].map(EntryVmId::from).into(),
+        ages: [255, 255].into(),
+        ..hb("b", 1, uptime, VmState::Ready)
+    };
+    // The configuration adds b: a holds the set without it until b has confirmed for a while.
+    let mut a = {
+        a.on_configuration(["a".into()], ms(0));
+        pass(&mut a, 0, 500);
+        a.announce_split();
+        pass(&mut a, 1_000, 1_000);
+        a
+    };
+    assert_eq!(a.split_members(ms(1_000)).sets[..], [["a".into()].into()]);
+    a.on_configuration(["a".into(), "b".into()], ms(1_000));
+    a.announce_split();
+    a.on_heartbeat(&b(1_000), ms(1_000));
+    pass(&mut a, 1_500, 20_000);
+    assert_eq!(a.split_members(ms(20_000)).sets.len(), 2);
+    for now in (20_500..40_000).step_by(500) {
+        pass(&mut a, now, now);
+        a.on_heartbeat(&b(now), ms(now));
+    }
+    let both = ["a", "b"].map(EntryVmId::from).into();
+    assert_eq!(a.split_members(ms(39_500)).sets[..], [both]);
+}
