--- a/components/entry/src/agents/heartbeats.rs
+++ b/components/entry/src/agents/heartbeats.rs
@@ -43,6 +43,7 @@
     u64,
     u32,
     MembersHash,
+    Vec<u8>,
     Generation,
     BTreeMap<ServiceId, u32>,
 );
@@ -58,6 +59,7 @@
             hb.generation,
             hb.free_slots,
             m.counted,
+            hb.ages,
             m.settled,
             m.free,
         )
@@ -66,8 +68,18 @@
 
 impl From<Wire> for Message {
     fn from(w: Wire) -> Self {
-        let Wire(vm, incarnation, uptime_ms, state, generation, free_slots, counted, settled, free) =
-            w;
+        let Wire(
+            vm,
+            incarnation,
+            uptime_ms,
+            state,
+            generation,
+            free_slots,
+            counted,
+            ages,
+            settled,
+            free,
+        ) = w;
         Message {
             heartbeat: HeartbeatWire {
                 vm,
@@ -77,6 +89,7 @@
                 generation,
                 free_slots,
                 counted: Vec::new(),
+                ages,
             },
             counted,
             settled,
@@ -102,6 +115,9 @@
 pub async fn run(node: Arc<Node>, ticks: Receiver<Duration>) {
     while ticks.recv().await.is_ok() {
         let now = node.now();
+        if node.admission.is_settled() {
+            node.lock_membership().announce_split();
+        }
         for peer in due(&node, now) {
             runtime::spawn(exchange(node.clone(), peer)).detach();
         }
@@ -174,24 +190,31 @@
     }
 }
 
-/// Takes the VMs that a peer counts from their hash, and its heartbeat into the membership.
-fn hear(node: &Node, heartbeat: &mut Heartbeat, counted: MembersHash) -> Heard {
-    let mut membership = node.lock_membership();
-    let own = membership.counted();
-    if members_hash(own) == counted {
-        // Any other set only tells that the peer does not count the same VMs, as an empty one does.
-        heartbeat.counted.clone_from(own);
+/// Restores the VMs that a peer counts from their hash.
+///
+/// A set that this VM does not announce itself only tells that the peer does not count the same
+/// VMs, as an empty one does; its ages cannot be assigned to VMs then.
+fn restore(node: &Node, message: &mut Message) {
+    let membership = node.lock_membership();
+    let wire = &mut message.heartbeat;
+    let known = [membership.counted(), membership.announced()];
+    match known
+        .into_iter()
+        .find(|set| members_hash(set) == message.counted)
+    {
+        Some(set) if set.len() == wire.ages.len() => wire.counted = set.to_vec(),
+        _ => wire.ages.clear(),
     }
-    membership.on_heartbeat(heartbeat, node.now())
 }
 
 /// Takes a peer's heartbeat.
-pub async fn take(node: &Arc<Node>, message: Message) {
-    let Ok(mut heartbeat) = Heartbeat::try_from(message.heartbeat) else {
+pub async fn take(node: &Arc<Node>, mut message: Message) {
+    restore(node, &mut message);
+    let Ok(heartbeat) = Heartbeat::try_from(message.heartbeat) else {
         metrics::counter!("heartbeats_invalid_total").increment(1);
         return;
     };
-    let heard = hear(node, &mut heartbeat, message.counted);
+    let heard = node.lock_membership().on_heartbeat(&heartbeat, node.now());
     match heard {
         Heard::Accepted | Heard::NewIncarnation => {
             node.set_peer_settled(&heartbeat.vm, message.settled);
--- a/components/load/src/capacity/messages.rs
+++ b/components/load/src/capacity/messages.rs
@@ -81,6 +81,8 @@
             generation: 124_100,
             free_slots: 600,
             counted: Vec::new(),
+            // Tenths of a second since the sender heard each VM.
+            ages: vec![26; counted.len()],
         },
         counted: members_hash(&counted),
         settled: 124_100,
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -279,6 +279,11 @@
             .max_by_key(|(generation, _)| *generation)
     }
 
+    /// VMs that this process announces in its heartbeats, sorted.
+    pub fn announced(&self) -> &Members {
+        self.split.announced()
+    }
+
     /// No request of this process occupies a slot that `split_members` does not give to it: peers
     /// may be told. Call it before each round if that is so; a change of the split makes no
     /// progress without it.
