--- a/scripts/run-processes.sh
+++ b/scripts/run-processes.sh
@@ -68,11 +68,11 @@
     fi
     for pid in "${stand_ins[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
     for pid in "${stand_ins[@]}"; do wait "$pid" 2>/dev/null || true; done
-    if [ "$code" -eq 0 ]; then
-        rm -r "$dir"
-    else
-        echo "logs and settings are kept in $dir" >&2
-    fi
+    case $code in
+    # An interrupt is the usual end of a run with --keep.
+    0 | 130 | 143) rm -r "$dir" ;;
+    *) echo "logs and settings are kept in $dir" >&2 ;;
+    esac
     exit "$code"
 }
 trap stop EXIT
