Test idempotent answers during a shutdown and broken links to other domains

Change: SIGTERM with only long idempotent answers under way; work that the own failure domain sheds while links to the other one break and servers there close without an answer.

--- a/components/deployment/tests/failures/partition.rs
+++ b/components/deployment/tests/failures/partition.rs
@@ -6,7 +6,9 @@
 use deployment::sample::{LISTINGS, ORDERS, Shape};
 use deployment::{Answer, Caller, Deployment};
 
-use crate::common::{caller, generations, options, pause, plan, require, run};
+use standins::server::{BadAnswer, BadAnswers};
+
+use crate::common::{All, SEED, caller, generations, options, pause, plan, require, run};
 
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(10);
 
@@ -71,3 +73,58 @@
         }
     });
 }
+
+/// Guards against work that is sent to another failure domain a second time, or refused as not
+/// run, after the link broke while it was under way.
+#[test]
+fn work_for_another_domain_survives_broken_links() {
+    run(async {
+        let d = Deployment::start(options(Shape::default())).await.unwrap();
+        let first = d.configuration.inventory.domains[0].id.clone();
+        let vms = d.configuration.inventory.entry_vms.clone();
+        let (near, far): (Vec<_>, Vec<_>) = vms.iter().partition(|v| v.domain == first);
+        for server in &d.configuration.inventory.servers {
+            let server_of_first = server.domain == first;
+            d.servers[&server.id].set_faults(|f| {
+                f.shed_all = server_of_first;
+                if !server_of_first {
+                    f.bad_answers = Some(BadAnswers {
+                        kind: BadAnswer::Close,
+                        probability: 0.05,
+                        left: None,
+                    });
+                }
+            });
+        }
+        let local = Caller {
+            known: near.iter().map(|v| v.caller_address).collect(),
+            ..caller(&d)
+        };
+        let load = All::start(&local, |_| {});
+        let mut rng = fastrand::Rng::with_seed(SEED);
+        for _ in 0..16 {
+            pause(200).await;
+            d.cuts.restore();
+            for a in &near {
+                for b in &far {
+                    if rng.f64() < 0.4 {
+                        d.cuts.cut_one_way(&a.id, &b.id);
+                    }
+                }
+            }
+        }
+        d.cuts.restore();
+        let operations = load.finish().await;
+        let verdict = require("other-domain", &d, &operations);
+        let at_near = operations.iter().flat_map(|o| &o.attempts);
+        let relayed = at_near.filter(|a| {
+            a.answer == Answer::Whole && near.iter().any(|v| v.caller_address == a.address)
+        });
+        let relayed = relayed.count();
+        println!("relayed={relayed}");
+        assert!(
+            relayed > 0,
+            "nothing was served by the other domain: {verdict}"
+        );
+    });
+}
--- a/components/entry/tests/processes/terminate.rs
+++ b/components/entry/tests/processes/terminate.rs
@@ -4,11 +4,11 @@
 
 use config::Rules;
 use deployment::history::{Attempt, Operation};
-use deployment::sample::ORDERS;
-use deployment::{Answer, Credential, Work};
+use deployment::sample::{LISTINGS, ORDERS};
+use deployment::{Answer, Caller, Credential, Work};
 use rustix::process::Signal;
 
-use crate::common::{Both, Setup, caller, pause, require, signal};
+use crate::common::{Both, SEED, Setup, caller, pause, require, signal};
 
 /// Ticket lifetime, which bounds the shutdown.
 const TICKET_LIFETIME_MS: u64 = 4_000;
@@ -50,7 +50,7 @@
             .into_iter()
             .filter(|v| v.id != vm.id && v.domain == vm.domain)
         {
-            let one = deployment::Caller {
+            let one = Caller {
                 known: vec![other.caller_address],
                 ..callers.clone()
             };
@@ -90,8 +90,52 @@
     });
 }
 
+/// Guards against a shutdown that waits for binding work only and cuts other answers.
+#[test]
+fn terminated_entry_vm_finishes_long_idempotent_answers() {
+    let setup = Setup {
+        service_time: Duration::from_millis(400),
+        ..Setup::new("terminated-idempotent")
+    };
+    setup.run(async |d| {
+        let vm = d.configuration.inventory.entry_vms[0].clone();
+        let one = Caller {
+            known: vec![vm.caller_address],
+            ..caller(d)
+        };
+        // No look-up of binding work, so no ticket keeps the process alive.
+        let answers: Vec<_> = (0..6)
+            .map(|i| {
+                let (one, address) = (one.clone(), vm.caller_address);
+                let work = Work {
+                    service: LISTINGS.into(),
+                    house: "house".into(),
+                    id: format!("long-{i}").into(),
+                    binding: false,
+                    answer_bytes: 500_000,
+                };
+                runtime::spawn(async move { one.send(address, &work, Credential::None).await })
+            })
+            .collect();
+        pause(50).await;
+        signal(d, &vm.id, Signal::TERM);
+        assert!(d.stop_entry_vm(&vm.id).await, "the exit status must be 0");
+        let mut whole = 0;
+        for answer in answers {
+            let answer = answer.await;
+            assert!(
+                matches!(answer, Ok(Answer::Whole | Answer::NotRun(_))),
+                "cut by the shutdown: {answer:?}"
+            );
+            whole += usize::from(answer == Ok(Answer::Whole));
+        }
+        println!("test=terminated-idempotent seed={SEED} whole={whole} of 6");
+        assert!(whole > 0);
+    });
+}
+
 /// Looks up until a ticket belongs to an entry VM.
-async fn owned_order(callers: &deployment::Caller, vm: &str) -> (Work, String) {
+async fn owned_order(callers: &Caller, vm: &str) -> (Work, String) {
     let work = Work {
         service: ORDERS.into(),
         house: "house".into(),
