--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -4,6 +4,7 @@
 //! virtual time; servers, clients and the network are fakes.
 
 pub mod capacity;
+pub mod drain;
 pub mod experiment;
 pub mod model;
 pub mod shift;
--- a/components/load/src/main.rs
+++ b/components/load/src/main.rs
@@ -3,10 +3,12 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use load::{capacity, experiment, shift};
+use load::{capacity, drain, experiment, shift};
 
 /// Name of the shift experiment, which has a report of its own.
 const SHIFT: &str = "shift";
+/// Name of the drain experiment, which runs over real sockets and takes a minute and a half.
+const DRAIN: &str = "drain";
 
 fn main() -> ExitCode {
     env_logger::init();
@@ -22,7 +24,7 @@
     let names: Vec<&str> = experiment::ALL
         .iter()
         .map(|(name, _)| *name)
-        .chain([SHIFT])
+        .chain([SHIFT, DRAIN])
         .collect();
     let seed = Arg::new("seed")
         .long("seed")
@@ -61,6 +63,11 @@
         println!("{report}");
         return ExitCode::from(u8::from(!report.met()));
     }
+    if name == DRAIN {
+        let report = drain::run(seed);
+        println!("{report}");
+        return ExitCode::from(u8::from(!report.missed().is_empty()));
+    }
     let Some((_, run)) = experiment::ALL.iter().find(|(n, _)| *n == name) else {
         return ExitCode::FAILURE;
     };
