Refuse deferrable work at once where it may hold no slot

Cause: an entry VM with a single slot may give none to deferrable work, but queued it until its deadline, and only then the caller tried another one. Change: such a request is refused as the queue being full, so that another domain takes it. The new test failed before the change.

--- a/components/limits/src/queue.rs
+++ b/components/limits/src/queue.rs
@@ -63,7 +63,7 @@
 /// Why a request was refused or dropped; in every case it was not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Refusal {
-    /// The queue is full.
+    /// The queue is full, or the class may hold none of the slots.
     Full,
     /// The expected wait does not leave enough time before the deadline.
     DeadlineTooNear,
@@ -306,6 +306,14 @@
         if remaining.is_zero() {
             return Err((Refusal::Expired, entry));
         }
+        let share = self.settings.deferrable_slot_share;
+        if entry.class == Class::Deferrable
+            && slots.total > 0
+            && deferrable_limit(slots.total, share) == 0
+        {
+            // It would wait for its whole deadline.
+            return Err((Refusal::Full, entry));
+        }
         let wait = self.expected_wait(entry.class, &entry.house, slots);
         // Without a wait the request is tried even if it looks too late, so that a wrong
         // average is corrected by new samples.
--- a/components/limits/tests/queue.rs
+++ b/components/limits/tests/queue.rs
@@ -236,3 +236,18 @@
         prop_assert_eq!(left, (0..pushed).collect::<Vec<u32>>());
     }
 }
+
+/// Guards against deferrable work that waits for its whole deadline at an entry VM with a single
+/// slot, which it may never hold; elsewhere it could run at once.
+#[test]
+fn deferrable_work_is_refused_where_it_may_hold_no_slot() {
+    let single = Slots { total: 1, ..FREE };
+    let mut q = queue(10);
+    let pushed = q.push(Duration::ZERO, entry(Class::Deferrable, "h", 1), single);
+    assert_eq!(pushed.map_err(|(why, _)| why).err(), Some(Refusal::Full));
+    let pushed = q.push(Duration::ZERO, entry(Class::Idempotent, "h", 2), single);
+    assert!(pushed.is_ok());
+    let double = Slots { total: 2, ..FREE };
+    let pushed = q.push(Duration::ZERO, entry(Class::Deferrable, "h", 3), double);
+    assert!(pushed.is_ok());
+}
