Issue tickets at entry VMs whose answers name other domains only

Cause: look-ups at a drained domain's entry VMs, and for clients mapped to another domain, name entry VMs whose processes are not known there, so that they carried no ticket and the binding request was refused (code 106) until the caller asked elsewhere. Change: the ticket is then for an entry VM of the own domain, which is named first and passes the work on. The new test failed before the change. Ruled out: the shorter list of entry VMs; the order leaves out leaving ones whenever others exist.

--- /dev/null
+++ b/components/deployment/tests/drained_domain.rs
@@ -0,0 +1,67 @@
+//! Look-ups at the entry VMs of a drained failure domain.
+
+use std::time::Duration;
+
+use config::{Configuration, Shift, ShiftReason, Source};
+use deployment::{Caller, Deployment, Options};
+
+fn source(name: &'static str, text: &'static str) -> Source<'static> {
+    Source { name, text }
+}
+
+/// The example with its first failure domain drained long ago.
+fn drained() -> Configuration {
+    let (configuration, _) = config::read_configuration(
+        source(
+            "inventory.json",
+            include_str!("../../../examples/notensatz/inventory.json"),
+        ),
+        source(
+            "rules.json",
+            include_str!("../../../examples/notensatz/rules.json"),
+        ),
+    );
+    let before = configuration.expect("the example is valid");
+    let mut after = before.clone();
+    let domain = before.inventory.domains[0].id.clone();
+    after.rules.drains.domains.push(domain);
+    for service in &before.inventory.services {
+        let shift = Shift {
+            from: config::slot_shares(&before, &service.id),
+            to: config::slot_shares(&after, &service.id),
+            start_ms: 1,
+            reason: ShiftReason::Planned,
+        };
+        after.rules.shifts.insert(service.id.clone(), shift);
+    }
+    after
+}
+
+/// Guards against look-ups without a ticket: a drained domain's entry VMs name those of other
+/// domains only, whose processes they do not know, and the caller could not place its order.
+#[test]
+fn look_up_of_a_binding_service_has_a_ticket() {
+    let look_ups = async {
+        let options = Options {
+            configuration: drained(),
+            ..Options::default()
+        };
+        let deployment = Deployment::start(options).await.expect("starts");
+        let inventory = &deployment.configuration.inventory;
+        let domain = &inventory.domains[0].id;
+        let vms = inventory.entry_vms.iter();
+        let caller = Caller {
+            known: vms
+                .filter(|v| v.domain == *domain)
+                .map(|v| v.caller_address)
+                .collect(),
+            deadline: Duration::from_secs(5),
+        };
+        for _ in 0..20 {
+            let found = caller.look_up("bestelldienst").await.expect("an answer");
+            assert!(found.ticket.is_some(), "{found:?}");
+        }
+        deployment.stop().await
+    };
+    assert!(runtime::block_on(2, look_ups));
+}
--- a/components/entry/src/look_up.rs
+++ b/components/entry/src/look_up.rs
@@ -263,13 +263,28 @@
 }
 
 /// Issues a ticket for the first entry VM whose process is known, and names that VM first.
+///
+/// An answer may name entry VMs of other domains only, whose processes are not known here, when
+/// the client prefers another domain or this one is drained. The ticket is then for an entry VM of
+/// this domain, which passes the work on.
 fn mint(node: &Node, cfg: &InForce, service: &str, order: &mut entry_vm::Order) -> Option<String> {
     let lifetime = Duration::from_millis(cfg.rules().ticket_lifetime_ms);
-    let (index, owner, uptime) = order.iter().enumerate().find_map(|(i, id)| {
-        let (owner, uptime) = process_of(node, id)?;
-        Some((i, owner, uptime))
+    let named = order.iter().find_map(|id| process_of(node, id));
+    let (owner, uptime) = named.or_else(|| {
+        let peers = node.lock_membership().look_up_candidates(node.now());
+        let own = node.identity.vm.clone();
+        let (first, rest) = if cfg.is_entry_vm_drained(&own) {
+            (peers, vec![own])
+        } else {
+            (vec![own], peers)
+        };
+        first
+            .iter()
+            .chain(&rest)
+            .find_map(|id| process_of(node, id))
     })?;
-    order[..=index].rotate_right(1);
+    order.retain(|id| *id != owner.vm);
+    order.insert(0, owner.vm.clone());
     let expires = uptime + lifetime;
     if owner == node.identity {
         node.lock_work().records.note_expiry(expires);
