Give look-up answers a lifetime of their own, and keyed work ten seconds to start

Ruled out: a shorter ticket lifetime (retries with a ticket need it). Change: rule look_up_lifetime_ms, 5000 by default; keyed work may start for 10 s.

--- a/components/config/src/check/rules.rs
+++ b/components/config/src/check/rules.rs
@@ -52,6 +52,12 @@
         "ticket_lifetime_ms",
         faults,
     );
+    check_range(
+        rules.look_up_lifetime_ms,
+        1..=MAX_TIME_MS,
+        "look_up_lifetime_ms",
+        faults,
+    );
     check_twice("drains.servers", &rules.drains.servers, faults);
     check_twice("drains.entry_vms", &rules.drains.entry_vms, faults);
     check_twice("drains.domains", &rules.drains.domains, faults);
--- a/components/config/src/rules.rs
+++ b/components/config/src/rules.rs
@@ -30,8 +30,11 @@
     pub retry_budget: f64,
     /// Deadline of a request without `x-deadline-ms`, in milliseconds.
     pub default_deadline_ms: u64,
-    /// Lifetime of look-up answers and tickets, in milliseconds.
+    /// Lifetime of tickets, in milliseconds.
     pub ticket_lifetime_ms: u64,
+    /// Longest lifetime of look-up answers, in milliseconds. Callers keep the addresses of a lost
+    /// region for that long.
+    pub look_up_lifetime_ms: u64,
     /// Share of each server's slots that deferrable work may hold (0 to 1).
     pub deferrable_slot_share: f64,
     /// Objects that are being drained.
@@ -48,6 +51,7 @@
             retry_budget: 0.05,
             default_deadline_ms: 5_000,
             ticket_lifetime_ms: 10_000,
+            look_up_lifetime_ms: 5_000,
             deferrable_slot_share: 0.5,
             drains: Drains::default(),
             shifts: BTreeMap::new(),
--- a/components/config/src/shape.rs
+++ b/components/config/src/shape.rs
@@ -116,6 +116,7 @@
     optional("retry_budget", Kind::Number),
     optional("default_deadline_ms", U64),
     optional("ticket_lifetime_ms", U64),
+    optional("look_up_lifetime_ms", U64),
     optional("deferrable_slot_share", Kind::Number),
     optional("drains", Kind::Object(DRAINS)),
     optional("shifts", Kind::Map(&Kind::Object(SHIFT))),
--- a/components/config/tests/encode.rs
+++ b/components/config/tests/encode.rs
@@ -137,7 +137,7 @@
             r#"{"inventory":{"regions":[],"domains":[],"entry_vms":[],"services":[],"servers":[],"#,
             r#""links":[],"client_blocks":[]},"rules":{"shift_cap_per_minute":0.1,"#,
             r#""failover_cap_per_minute":1.0,"retry_budget":0.05,"default_deadline_ms":5000,"#,
-            r#""ticket_lifetime_ms":10000,"deferrable_slot_share":0.5,"drains":{"servers":[],"#,
+            r#""ticket_lifetime_ms":10000,"look_up_lifetime_ms":5000,"deferrable_slot_share":0.5,"drains":{"servers":[],"#,
             r#""entry_vms":[],"domains":[],"regions":[]},"shifts":{}}}"#
         )
     );
--- a/components/entry/src/look_up.rs
+++ b/components/entry/src/look_up.rs
@@ -129,7 +129,7 @@
     let views = node.views.get(node, &cfg, &service, &domain);
     let mut rng = fastrand::Rng::new();
     let settings = entry_vm::Settings {
-        lifetime: Duration::from_millis(cfg.rules().ticket_lifetime_ms),
+        lifetime: Duration::from_millis(cfg.rules().look_up_lifetime_ms),
         ..entry_vm::Settings::default()
     };
     let mut order = entry_vm::order(&settings, &views, &domain, &region, &mut rng);
--- a/components/entry/src/work.rs
+++ b/components/entry/src/work.rs
@@ -24,7 +24,7 @@
 pub use send::serve_relayed;
 
 /// Time for which work under a caller's key may start; the claim in the table lasts longer.
-const KEY_LIFETIME: Duration = Duration::from_mins(1);
+const KEY_LIFETIME: Duration = Duration::from_secs(10);
 /// Time beyond the deadline for an execution that the deadline ends to report how; without it a
 /// caller is told "unknown" of work that was never sent.
 const END_MARGIN: Duration = Duration::from_millis(100);
