--- a/components/load/src/shift.rs
+++ b/components/load/src/shift.rs
@@ -7,10 +7,10 @@
 use std::fmt;
 use std::time::Duration;
 
-use config::{Shift, ShiftReason};
+use config::{Shift, ShiftReason, moved_share, share_at};
 use fastrand::Rng;
 use routing::Shares;
-use routing::shift::{ShiftLimiter, distance, position};
+use routing::shift::ShiftLimiter;
 
 /// Nodes.
 const NODES: usize = 24;
@@ -87,7 +87,7 @@
     let nodes: Vec<(Path, Path)> = (0..NODES).map(|_| node(&shifts, &mut rng)).collect();
     let (limited, jumping): (Vec<Path>, Vec<Path>) = nodes.into_iter().unzip();
     let worst = |paths: &[Path]| paths.iter().map(worst_minute).fold(0.0, f64::max);
-    let left = |path: &Path| path.last().map_or(1.0, |(_, s)| distance(s, &target));
+    let left = |path: &Path| path.last().map_or(1.0, |(_, s)| moved_share(s, &target));
     Report {
         seed,
         cap: CAP,
@@ -107,7 +107,7 @@
     for (at, to) in ACCEPTED.into_iter().zip(["east", "west", "east"]) {
         let start_ms = EPOCH_MS + at;
         if let Some(last) = out.last() {
-            from = position(last, CAP, start_ms);
+            from = share_at(last, CAP, start_ms);
         }
         out.push(Shift {
             from: from.clone(),
@@ -135,7 +135,7 @@
         let shift = adopted.iter().rposition(|at| *at <= now_ms);
         let target = shift.map_or_else(
             || start.clone(),
-            |i| position(&shifts[i], CAP, EPOCH_MS + now_ms + clock_error),
+            |i| share_at(&shifts[i], CAP, EPOCH_MS + now_ms + clock_error),
         );
         capped.push((now, limiter.advance(&target, CAP, now).clone()));
         jumping.push((now, shift.map_or(&start, |i| &shifts[i].to).clone()));
@@ -151,7 +151,7 @@
 
 /// Largest share moved in any minute.
 fn worst_minute(path: &Path) -> f64 {
-    let step = |w: &[(Duration, Shares)]| (w[1].0, distance(&w[0].1, &w[1].1));
+    let step = |w: &[(Duration, Shares)]| (w[1].0, moved_share(&w[0].1, &w[1].1));
     let moves: Vec<(Duration, f64)> = path.windows(2).map(step).collect();
     let (mut worst, mut inside, mut first) = (0.0f64, 0.0, 0);
     for (at, moved) in &moves {
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -7,5 +7,4 @@
 pub mod server;
 pub mod shift;
 
-/// Share of a service's traffic per failure domain; shares add up to 1.
-pub type Shares = std::collections::BTreeMap<config::DomainId, f64>;
+pub use config::Shares;
--- a/components/routing/src/shift.rs
+++ b/components/routing/src/shift.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use config::{DomainId, Shift};
+use config::{DomainId, moved_share};
 
 use crate::Shares;
 
@@ -12,17 +12,6 @@
 /// was paused for a minute would move the cap at once and again in the minute that follows.
 const MAX_STEP: Duration = Duration::from_secs(1);
 
-/// Share that has to move to get from `a` to `b`.
-pub fn distance(a: &Shares, b: &Shares) -> f64 {
-    let gained = b
-        .iter()
-        .map(|(d, s)| (s - a.get(d).unwrap_or(&0.0)).max(0.0));
-    let lost = a
-        .iter()
-        .map(|(d, s)| (s - b.get(d).unwrap_or(&0.0)).max(0.0));
-    gained.sum::<f64>().max(lost.sum())
-}
-
 /// Shares at `fraction` of the straight line from `a` to `b`.
 pub fn between(a: &Shares, b: &Shares, fraction: f64) -> Shares {
     if fraction >= 1.0 {
@@ -35,17 +24,6 @@
     out
 }
 
-/// Shares that a shift prescribes at a platform time in milliseconds since the Unix epoch.
-pub fn position(shift: &Shift, cap_per_minute: f64, now_ms: u64) -> Shares {
-    let total = distance(&shift.from, &shift.to);
-    let elapsed = Duration::from_millis(now_ms.saturating_sub(shift.start_ms));
-    let moved = cap_per_minute * elapsed.as_secs_f64() / MINUTE.as_secs_f64();
-    if total <= 0.0 {
-        return shift.to.clone();
-    }
-    between(&shift.from, &shift.to, moved / total)
-}
-
 /// Shares in force on one node for one service.
 ///
 /// However the target jumps, the share moved in any minute of the node's own clock is at most the
@@ -76,7 +54,7 @@
         // before it, so the rate is the cap over their sum.
         let rate = cap_per_minute.max(0.0) / (MINUTE + MAX_STEP).as_secs_f64();
         let allowed = rate * step.as_secs_f64();
-        let total = distance(&self.shares, target);
+        let total = moved_share(&self.shares, target);
         if total <= allowed {
             self.shares.clone_from(target);
         } else if allowed > 0.0 {
--- a/components/routing/tests/domain.rs
+++ b/components/routing/tests/domain.rs
@@ -3,12 +3,11 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use config::{Drains, Rules};
+use config::{Drains, Rules, moved_share};
 use proptest::prelude::*;
 use routing::Shares;
 use routing::domain::{DomainView, Load, Settings, State, Steering};
 use routing::failover::{Placement, target};
-use routing::shift::distance;
 
 const SLOTS: f64 = 100.0;
 const STEP: Duration = Duration::from_millis(500);
@@ -219,7 +218,7 @@
     let moved = |from: usize| -> f64 {
         path[from..from + 61]
             .windows(2)
-            .map(|w| distance(&w[0], &w[1]))
+            .map(|w| moved_share(&w[0], &w[1]))
             .sum()
     };
     assert!((100..340).all(|s| moved(s) <= 0.6 + 1e-9));
--- a/components/routing/tests/shift.rs
+++ b/components/routing/tests/shift.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use config::moved_share;
 use proptest::prelude::*;
 use routing::Shares;
-use routing::shift::{ShiftLimiter, distance};
+use routing::shift::ShiftLimiter;
 
 const TOLERANCE: f64 = 1e-9;
 
@@ -62,7 +63,7 @@
 }
 
 fn movements(path: &[(Duration, Shares)]) -> Vec<(Duration, f64)> {
-    let step = |w: &[(Duration, Shares)]| (w[1].0, distance(&w[0].1, &w[1].1));
+    let step = |w: &[(Duration, Shares)]| (w[1].0, moved_share(&w[0].1, &w[1].1));
     path.windows(2).map(step).collect()
 }
 
