Add experiment slow-servers-live on whole entry VMs

Cause: slow-servers measured the decision code with fakes only. Change: the same goals over real sockets through two entry VMs; the baseline sends to the servers in turn.

--- a/components/deployment/src/machines.rs
+++ b/components/deployment/src/machines.rs
@@ -68,6 +68,8 @@
             connections: known.connections as usize,
             service_time: options.service_time * factor,
             exponential: true,
+            straggler_probability: options.straggler_probability,
+            straggler_factor: 20.0,
             binding: class == Some(Class::Binding),
             seed: options.seed + i as u64,
             ..ServerSettings::default()
--- a/components/deployment/src/running.rs
+++ b/components/deployment/src/running.rs
@@ -33,6 +33,8 @@
     pub configuration: Configuration,
     /// Mean service time of the servers.
     pub service_time: Duration,
+    /// Share of requests that take 20 times longer.
+    pub straggler_probability: f64,
     /// Factor on the service time of deferrable services.
     pub deferrable_factor: u32,
     /// Requests that wait for a slot at a server; further ones are shed.
@@ -53,6 +55,7 @@
         Options {
             configuration: Configuration::default(),
             service_time: Duration::from_millis(5),
+            straggler_probability: 0.0,
             deferrable_factor: 10,
             server_queue: 3,
             spare_slots: 8,
--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod capacity;
 pub mod drain;
 pub mod experiment;
+pub mod live;
 pub mod model;
 pub mod shift;
--- a/components/load/src/main.rs
+++ b/components/load/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use load::{capacity, drain, experiment, shift};
+use load::{capacity, drain, experiment, live, shift};
 
 /// Name of the shift experiment, which has a report of its own.
 const SHIFT: &str = "shift";
@@ -24,7 +24,7 @@
     let names: Vec<&str> = experiment::ALL
         .iter()
         .map(|(name, _)| *name)
-        .chain([SHIFT, DRAIN])
+        .chain([SHIFT, DRAIN, live::NAME])
         .collect();
     let seed = Arg::new("seed")
         .long("seed")
@@ -63,8 +63,8 @@
         println!("{report}");
         return ExitCode::from(u8::from(!report.met()));
     }
-    if name == DRAIN {
-        let report = drain::run(seed);
+    if let Some(run) = whole_deployment(name) {
+        let report = run(seed);
         println!("{report}");
         return ExitCode::from(u8::from(!report.missed().is_empty()));
     }
@@ -76,6 +76,15 @@
     ExitCode::from(u8::from(!report.missed().is_empty()))
 }
 
+/// Returns an experiment that runs whole entry VMs over real sockets.
+fn whole_deployment(name: &str) -> Option<fn(u64) -> experiment::Report> {
+    match name {
+        DRAIN => Some(drain::run),
+        live::NAME => Some(live::run),
+        _ => None,
+    }
+}
+
 fn run_capacity(args: &ArgMatches) -> ExitCode {
     let part = args.get_one::<String>("part").map(String::as_str);
     match capacity::run(seed_of(args), part, &mut std::io::stdout().lock()) {
