Hold a slot until the server has surely ended its request

Cause: a request that its deadline ended here gave its slot to the next one at once, while the server counts the deadline from the arrival and goes on for a moment; binding work is not cancelled by a closed connection. The bound in limits/src/slots.rs names no such residual.

Ruled out: the split between entry VMs; nobody joined, left or was cut off.

Change: a slot whose request was not answered is released 100 ms later for binding work, and 20 ms later for work that the closed connection cancels.

Conclusion: the peak stays within the slots as long as the lag between the deadlines is below 100 ms and a server notices a closed connection within 20 ms.

--- a/components/deployment/tests/failures/slots.rs
+++ b/components/deployment/tests/failures/slots.rs
@@ -75,3 +75,36 @@
         assert_eq!(d.past_slots(), [], "server, peak, slots");
     });
 }
+
+/// Guards against a slot that is given to the next request while the server still works on one
+/// whose deadline has passed.
+#[test]
+fn ended_deadlines_never_pass_the_slots() {
+    run(async {
+        let options = deployment::Options {
+            service_time: Duration::from_millis(60),
+            ..options(shape())
+        };
+        let d = Deployment::start(options).await.unwrap();
+        let caller = deployment::Caller {
+            deadline: Duration::from_millis(120),
+            ..caller(&d)
+        };
+        let load = All::start(&caller, |p| {
+            busy(p);
+            p.callers = 16;
+        });
+        pause(6_000).await;
+        let operations = load.finish().await;
+        require("slots-deadlines", &d, &operations);
+        let ended: u64 = d
+            .servers
+            .values()
+            .map(|s| s.executions())
+            .map(|e| e.deadline_ended + e.cancelled)
+            .sum();
+        println!("ended_at_servers={ended}");
+        assert!(ended > 0);
+        assert_eq!(d.past_slots(), [], "server, peak, slots");
+    });
+}
--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -19,6 +19,11 @@
 use crate::in_force::InForce;
 use crate::request::Meta;
 
+/// Longest time between the deadline here and at the server, which counts from the arrival.
+const DEADLINE_LAG: Duration = Duration::from_millis(100);
+/// Longest time until a server notices that the connection was closed.
+const CANCEL_LAG: Duration = Duration::from_millis(20);
+
 /// Servers that an attempt should not go to.
 pub type Avoid = SmallVec<[ServerId; 4]>;
 
@@ -311,16 +316,18 @@
             .collect()
     }
 
-    fn release(self: &Arc<Self>, slot: &Slot) {
+    /// Records how the request of a slot ended.
+    fn finish(&self, slot: &Slot) {
         let now = self.clock.uptime();
-        {
-            let mut inner = self.lock();
-            inner.ledger.release(&slot.permit);
-            if let Some(state) = inner.services.get_mut(&slot.service) {
-                state.finish(now, slot);
-            }
+        if let Some(state) = self.lock().services.get_mut(&slot.service) {
+            state.finish(now, slot);
         }
-        self.pump(&slot.service);
+    }
+
+    /// Gives a slot to the next request.
+    fn release(self: &Arc<Self>, permit: &Permit, service: &ServiceId) {
+        self.lock().ledger.release(permit);
+        self.pump(service);
     }
 
     fn pump_all(self: &Arc<Self>) {
@@ -512,12 +519,33 @@
         let now = self.admission.clock.uptime();
         self.ended = Some((outcome, now.saturating_sub(self.started)));
     }
+
+    /// Returns the time for which the server may still work on the request.
+    fn release_pause(&self) -> Duration {
+        match self.ended {
+            Some((Outcome::Answered | Outcome::Shed, _)) => Duration::ZERO,
+            // A closed connection does not cancel binding work; its deadline ends it there.
+            _ if self.class == Class::Binding => DEADLINE_LAG,
+            _ => CANCEL_LAG,
+        }
+    }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         let admission = self.admission.clone();
-        admission.release(self);
+        admission.finish(self);
+        let (permit, service) = (self.permit.clone(), self.service.clone());
+        let pause = self.release_pause();
+        if pause.is_zero() {
+            admission.release(&permit, &service);
+            return;
+        }
+        runtime::spawn(async move {
+            runtime::sleep(pause).await;
+            admission.release(&permit, &service);
+        })
+        .detach();
     }
 }
 
