--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -269,17 +269,20 @@
             .collect()
     }
 
-    fn release(self: &Arc<Self>, slot: &Slot) {
+    /// Records how the request of a slot ended.
+    fn finish(&self, slot: &Slot) {
         let now = self.clock.uptime();
-        {
-            let mut inner = self.lock();
-            inner.ledger.release(&slot.permit);
-            inner.cancels.remove(&slot.permit);
-            if let Some(state) = inner.services.get_mut(&slot.service) {
-                state.finish(now, slot);
-            }
+        let mut inner = self.lock();
+        inner.cancels.remove(&slot.permit);
+        if let Some(state) = inner.services.get_mut(&slot.service) {
+            state.finish(now, slot);
         }
-        self.pump(&slot.service);
+    }
+
+    /// Gives a slot to the next request.
+    fn release(self: &Arc<Self>, permit: &Permit, service: &ServiceId) {
+        self.lock().ledger.release(permit);
+        self.pump(service);
     }
 
     fn pump_all(self: &Arc<Self>) {
--- a/components/entry/src/admission/service.rs
+++ b/components/entry/src/admission/service.rs
@@ -168,6 +168,7 @@
             admission,
             permit,
             service: service.clone(),
+            class: self.class,
             address,
             cancelled,
             started: now,
