--- a/components/deployment/src/addresses.rs
+++ b/components/deployment/src/addresses.rs
@@ -1,6 +1,6 @@
 //! Free loopback addresses for a configuration.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 
 use config::Configuration;
 use error_stack::ResultExt;
@@ -23,8 +23,14 @@
     Ok(())
 }
 
+/// Returns a free address on the loopback IP address of this process.
+///
+/// Between the choice of a port and its use, another deployment or an outgoing connection, which
+/// starts at 127.0.0.1, could take a port of a shared address.
 fn free(held: &mut Vec<TcpListener>) -> Result<SocketAddr> {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).change_context(Error::Listen)?;
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 64 + high % 64, low, 1);
+    let listener = TcpListener::bind((ip, 0)).change_context(Error::Listen)?;
     let address = listener.local_addr().change_context(Error::Listen)?;
     held.push(listener);
     Ok(address)
