Give back queued deferrable work that can no longer get a slot

Refusing new work was not enough. Change: each tick gives such entries back as the queue being full, so that another domain takes them. The new test of take_stranded guards it; it was written with the method.

--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -159,18 +159,25 @@
         self.lock().ledger.settled()
     }
 
-    /// Advances time: drops expired requests.
+    /// Advances time: drops requests that are expired or can no longer get a slot here.
     pub fn tick(self: &Arc<Self>) {
         let now = self.clock.uptime();
         let mut expired = Vec::new();
+        let mut stranded = Vec::new();
         {
             let mut inner = self.lock();
-            inner.ledger.tick(now);
-            for state in inner.services.values_mut() {
+            let Inner {
+                ledger, services, ..
+            } = &mut *inner;
+            ledger.tick(now);
+            for state in services.values_mut() {
                 expired.extend(state.queue.expire(now));
+                let slots = state.slots(ledger);
+                stranded.extend(state.queue.take_stranded(slots));
             }
         }
         refuse(expired, Code::DeadlinePassed);
+        refuse(stranded, Code::QueueFull);
         self.pump_all();
     }
 
--- a/components/limits/src/queue.rs
+++ b/components/limits/src/queue.rs
@@ -306,11 +306,7 @@
         if remaining.is_zero() {
             return Err((Refusal::Expired, entry));
         }
-        let share = self.settings.deferrable_slot_share;
-        if entry.class == Class::Deferrable
-            && slots.total > 0
-            && deferrable_limit(slots.total, share) == 0
-        {
+        if entry.class == Class::Deferrable && self.has_none_for_deferrable(slots) {
             // It would wait for its whole deadline.
             return Err((Refusal::Full, entry));
         }
@@ -332,6 +328,22 @@
         Ok(displaced)
     }
 
+    /// True if deferrable work may hold none of the slots.
+    fn has_none_for_deferrable(&self, slots: Slots) -> bool {
+        slots.total > 0 && deferrable_limit(slots.total, self.settings.deferrable_slot_share) == 0
+    }
+
+    /// Removes the deferrable entries if their class may hold none of the slots any more, as after
+    /// a server was drained; they would wait for their whole deadline.
+    pub fn take_stranded(&mut self, slots: Slots) -> Vec<Entry<T>> {
+        let mut stranded = Vec::new();
+        if self.has_none_for_deferrable(slots) {
+            let lane = &mut self.lanes[Class::Deferrable as usize];
+            lane.expire(Duration::MAX, &mut stranded);
+        }
+        stranded
+    }
+
     /// Removes an entry of a lower class, or of a house that holds more of the queue.
     fn make_room(&mut self, class: Class, house: &HouseId) -> Option<Entry<T>> {
         let rank = class as usize;
--- a/components/limits/tests/queue.rs
+++ b/components/limits/tests/queue.rs
@@ -251,3 +251,18 @@
     let pushed = q.push(Duration::ZERO, entry(Class::Deferrable, "h", 3), double);
     assert!(pushed.is_ok());
 }
+
+/// Guards against deferrable work that was queued before the slots shrank to a single one, and then
+/// waits for its whole deadline.
+#[test]
+fn queued_deferrable_work_is_given_back_when_it_may_hold_no_slot() {
+    let mut q = queue(10);
+    push(&mut q, entry(Class::Deferrable, "h", 1)).expect("room");
+    push(&mut q, entry(Class::Idempotent, "h", 2)).expect("room");
+    assert!(q.take_stranded(FREE).is_empty());
+    let single = Slots { total: 1, ..FREE };
+    let stranded: Vec<u32> = q.take_stranded(single).iter().map(|e| e.item).collect();
+    assert_eq!(stranded, [1]);
+    assert_eq!(pop(&mut q).map(|e| e.item), Some(2));
+    assert!(q.is_empty());
+}
--- a/components/load/src/drain.rs
+++ b/components/load/src/drain.rs
@@ -37,7 +37,9 @@
 pub fn run(seed: u64) -> Report {
     let mut report = Report::new("drain", seed);
     if let Err(e) = runtime::block_on(THREADS, drain(seed, &mut report)) {
-        report.lines.push(format!("error=\"{e:?}\""));
+        report
+            .lines
+            .push(format!("error=\"{}\"", e.current_context()));
         report.goals.push(Goal::at_most("errors", 1.0, 0.0));
     }
     report
