Use the default look-up lifetime in the region-loss experiment

Callers that still used an answer naming the lost region raised the p99 from 5 s to 10 s after the loss. Change: the model reads config::Rules::default().look_up_lifetime_ms.

--- a/components/load/src/model/run/relay.rs
+++ b/components/load/src/model/run/relay.rs
@@ -20,8 +20,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time until a caller notices that its entry VM is gone.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(1);
-/// Lifetime of a look-up answer.
-const LOOKUP_TTL: Duration = Duration::from_secs(10);
 
 impl World {
     pub(super) fn start_regions(&mut self) {
@@ -298,7 +296,7 @@
     /// Callers use their look-up answer until it expires, and then get a new one.
     pub(super) fn reconnect_later(&mut self, request: u32) {
         let loss = self.scenario.regions.as_ref().and_then(|r| r.loss);
-        let old = loss.is_some_and(|(_, at)| self.now < at + LOOKUP_TTL);
+        let old = loss.is_some_and(|(_, at)| self.now < at + look_up_lifetime());
         let wait = if old { CONNECT_TIMEOUT } else { Duration::ZERO };
         self.events.push(self.now + wait, Event::Reconnect(request));
     }
@@ -322,3 +320,8 @@
         self.scenario.regions.is_some() && self.scenario.policy != Policy::Plain
     }
 }
+
+/// Lifetime of a look-up answer under the default rules.
+fn look_up_lifetime() -> Duration {
+    Duration::from_millis(config::Rules::default().look_up_lifetime_ms)
+}
