Let binding work borrow slots under a fixed term that outlasts its deadline

Cause: binding work used own slots only, so with slow servers each entry VM queued for its part of the others while its peer had idle slots. Ruled out: the ordinary lease of 500 ms (its requests are cancelled when it ends) and extensions (a lost message would cancel binding work). Change: a loan has a term, ordinary or fixed. Binding work asks for a fixed term of the longest time left to a deadline plus 500 ms, at most 10 s, and takes a borrowed slot only if the loan outlasts its deadline by 250 ms. The loan is given back at the next look (50 ms) after its request ended, also while others wait. A request is not sent when its loan has ended or the process was paused. New residual, stated in slots.rs: slots lent under a fixed term by an entry VM that is then gone are in use until the deadline while its part is reassigned after 5 s.

--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -216,11 +216,13 @@
         if slots.in_use >= slots.total || !state.queue.is_empty() {
             return None;
         }
-        let server = state.choose(now, ledger, avoid, rng)?;
+        let server = state.choose(now, ledger, meta.deadline, avoid, rng)?;
         if avoid.contains(&server) || !Hedge::take(meta.class, &mut state.budget) {
             return None;
         }
-        let permit = ledger.acquire(now, &server, meta.class).ok()?;
+        let permit = ledger
+            .acquire(now, &server, meta.class, meta.deadline)
+            .ok()?;
         let cancelled = watch(cancels, &permit);
         Some(state.start(self.clone(), now, permit, &meta.service, cancelled))
     }
@@ -306,13 +308,17 @@
         let Some(state) = services.get_mut(service) else {
             return false;
         };
-        if state.choose(now, ledger, &Avoid::new(), rng).is_none() {
+        // Whichever request is next, the slot must cover its deadline.
+        let latest = state.queue.latest_deadline().unwrap_or_default();
+        let any = state.choose(now, ledger, latest, &Avoid::new(), rng);
+        if any.is_none() {
             return false;
         }
         let popped = state.queue.pop(now, state.slots(now, ledger));
         let started = popped.next.map(|entry| {
-            let server = state.choose(now, ledger, &entry.item.avoid, rng);
-            let permit = server.and_then(|id| ledger.acquire(now, &id, entry.class).ok());
+            let server = state.choose(now, ledger, entry.deadline, &entry.item.avoid, rng);
+            let permit =
+                server.and_then(|id| ledger.acquire(now, &id, entry.class, entry.deadline).ok());
             let slot = permit.map(|permit| {
                 let cancelled = watch(cancels, &permit);
                 state.start(self.clone(), now, permit, service, cancelled)
--- a/components/entry/src/admission/loans.rs
+++ b/components/entry/src/admission/loans.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use config::{Class, ServerId, ServiceId};
-use limits::slots::{Grant, LoanRequest, Renewal, WireGrant};
+use limits::slots::{Grant, LoanRequest, Renewal, Settings, Term, WireGrant};
 
 use super::Admission;
 
@@ -12,15 +12,20 @@
 const LENT_SLOTS: u32 = 1;
 
 impl Admission {
-    /// Tells whether requests of a service wait that a borrowed slot could serve.
-    pub fn wants_slot(&self, service: &ServiceId) -> bool {
+    /// Returns the term of a loan that the waiting requests of a service could use.
+    pub fn wanted_term(&self, service: &ServiceId) -> Option<Term> {
+        let now = self.clock.uptime();
         let inner = self.lock();
-        let state = inner.services.get(service);
-        state.is_some_and(|s| s.class != Class::Binding && !s.queue.is_empty())
+        let state = inner.services.get(service)?;
+        let latest = state.queue.latest_deadline()?;
+        Some(match state.class {
+            Class::Binding => Settings::default().fixed_term(latest.saturating_sub(now)),
+            Class::Idempotent | Class::Deferrable => Term::Renewable,
+        })
     }
 
     /// Lends a slot of the server with the most idle ones, but not the last idle slot.
-    pub fn lend(&self, service: &ServiceId) -> Option<(ServerId, WireGrant)> {
+    pub fn lend(&self, service: &ServiceId, term: Term) -> Option<(ServerId, WireGrant)> {
         let now = self.clock.uptime();
         let mut inner = self.lock();
         let super::Inner {
@@ -40,7 +45,7 @@
             .max_by_key(|id| free(id))
             .filter(|_| total > 1)?
             .clone();
-        let grant = ledger.lend(now, &server, LENT_SLOTS, 0).ok()?;
+        let grant = ledger.lend(now, &server, LENT_SLOTS, 0, term).ok()?;
         Some((server, WireGrant::from(grant)))
     }
 
@@ -66,11 +71,8 @@
             inner.cancels.remove(&permit);
         }
         let is_waiting = |s: &super::service::ServiceState| !s.queue.is_empty();
-        let idle = if inner.services.values().any(is_waiting) {
-            Vec::new()
-        } else {
-            inner.ledger.give_back()
-        };
+        let waiting = inner.services.values().any(is_waiting);
+        let idle = inner.ledger.give_back(waiting);
         (inner.ledger.renewals(now), idle)
     }
 
--- a/components/entry/src/admission/service.rs
+++ b/components/entry/src/admission/service.rs
@@ -125,26 +125,24 @@
         slots
     }
 
-    /// Chooses a server for an attempt.
+    /// Chooses a server for an attempt with this deadline.
     pub fn choose(
         &self,
         now: Duration,
         ledger: &Ledger,
+        deadline: Duration,
         avoid: &Avoid,
         rng: &mut fastrand::Rng,
     ) -> Option<ServerId> {
         let share = |id: &ServerId| {
             let usage = ledger.usage(now, id);
-            // Binding work is not sent on a borrowed slot, because it could not be cancelled.
-            if self.class == Class::Binding {
-                return Share {
-                    slots: usage.part,
-                    free: usage.free_own(),
-                };
-            }
+            let free = match self.class {
+                Class::Binding => ledger.free_binding(now, id, deadline),
+                Class::Idempotent | Class::Deferrable => usage.free(),
+            };
             Share {
                 slots: usage.part + usage.borrowed,
-                free: usage.free(),
+                free,
             }
         };
         self.selector.choose(now, share, avoid, true, rng)
--- a/components/entry/src/admission/slot.rs
+++ b/components/entry/src/admission/slot.rs
@@ -35,6 +35,13 @@
         &self.permit.server
     }
 
+    /// Tells whether the request may still be sent: the process may have been paused, or the loan
+    /// of a borrowed slot may have ended, since the slot was taken.
+    pub fn may_send(&self) -> bool {
+        let now = self.admission.clock.uptime();
+        self.admission.lock().ledger.may_send(now, &self.permit)
+    }
+
     /// Records how the attempt ended; without it the attempt counts as cancelled.
     pub fn end(&mut self, outcome: Outcome) {
         let now = self.admission.clock.uptime();
--- a/components/entry/src/loans.rs
+++ b/components/entry/src/loans.rs
@@ -12,7 +12,7 @@
 use async_channel::{Receiver, Sender};
 use config::{ServerId, ServiceId};
 use http::client::ClientOptions;
-use limits::slots::{Grant, LoanRequest, Renewal, WireGrant};
+use limits::slots::{Grant, LoanRequest, Renewal, Term, WireGrant};
 use serde::{Deserialize, Serialize};
 
 use crate::node::Node;
@@ -29,8 +29,8 @@
 /// Message to a lender.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Message {
-    /// Asks for an idle slot of any server of a service.
-    Ask(ServiceId),
+    /// Asks for an idle slot of any server of a service, for this term.
+    Ask(ServiceId, Term),
     /// Asks for a longer term.
     Extend(u64),
     /// Gives loans back.
@@ -89,26 +89,26 @@
 /// Asks peers for slots while requests wait.
 pub async fn ask(node: Arc<Node>) {
     while let Ok(service) = node.loans.wanted.1.recv().await {
-        if !node.admission.wants_slot(&service) {
+        let Some(term) = node.admission.wanted_term(&service) else {
             continue;
-        }
-        if !ask_peer(&node, &service).await {
+        };
+        if !ask_peer(&node, &service, term).await {
             runtime::sleep(ASK_INTERVAL).await;
         }
-        if node.admission.wants_slot(&service) {
+        if node.admission.wanted_term(&service).is_some() {
             node.loans.want(&service);
         }
     }
 }
 
 /// Asks one peer that has reported idle slots; tells whether it lent one.
-async fn ask_peer(node: &Arc<Node>, service: &ServiceId) -> bool {
+async fn ask_peer(node: &Arc<Node>, service: &ServiceId, term: Term) -> bool {
     let Some(address) = node.peer_with_free_slots(service) else {
         runtime::sleep(PERIOD).await;
         return false;
     };
     let sent = node.now();
-    let message = Message::Ask(service.clone());
+    let message = Message::Ask(service.clone(), term);
     let answer = Box::pin(node.call(address, PATH, &message, &options())).await;
     let Ok(Answer::Lent(server, grant)) = answer else {
         metrics::counter!("loans_total", "result" => "refused").increment(1);
@@ -118,6 +118,7 @@
     let request = LoanRequest {
         server: server.clone(),
         sent,
+        term,
     };
     if !node.admission.borrow(service, &request, Grant::from(grant)) {
         metrics::counter!("loans_total", "result" => "late").increment(1);
@@ -170,7 +171,7 @@
 /// Answers a borrower.
 pub fn answer(node: &Node, message: &Message) -> Answer {
     match message {
-        Message::Ask(service) => match node.admission.lend(service) {
+        Message::Ask(service, term) => match node.admission.lend(service, *term) {
             Some((server, grant)) => Answer::Lent(server, grant),
             None => Answer::Nothing,
         },
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -65,7 +65,7 @@
 }
 
 /// Waits for a slot; asks the peers for one when it is not free at once.
-async fn acquire(node: &Arc<Node>, meta: &Meta, avoid: &Avoid) -> Result<Slot, Code> {
+pub async fn acquire(node: &Arc<Node>, meta: &Meta, avoid: &Avoid) -> Result<Slot, Code> {
     let waiting = node.admission.acquire(meta, avoid.clone());
     let ask = async {
         futures_lite::future::yield_now().await;
--- a/components/entry/src/work/send.rs
+++ b/components/entry/src/work/send.rs
@@ -13,6 +13,7 @@
 use crate::exchange::{self, AnswerLimits, Attempt, NotRun};
 use crate::node::Node;
 use crate::peer;
+use crate::relay;
 use crate::request::{Meta, Outgoing};
 use crate::steer::{self, Target};
 
@@ -111,7 +112,7 @@
 ) -> Result<Stored, Code> {
     let mut avoid = Avoid::new();
     loop {
-        let slot = node.admission.acquire(meta, avoid.clone()).await?;
+        let slot = relay::acquire(node, meta, &avoid).await?;
         let server = slot.server().clone();
         let not_run = match send_to(node, check, meta, outgoing, slot).await? {
             Ok(stored) => return Ok(stored),
@@ -145,6 +146,9 @@
         return Ok(Err(NotRun::Connect));
     };
     // The process may have been paused since the slot was taken: check again before the send.
+    if !slot.may_send() {
+        return Ok(Err(NotRun::Connect));
+    }
     check(node, SendEvent::About)?;
     let remaining = meta.deadline.saturating_sub(node.now());
     let limits = AnswerLimits {
--- a/components/limits/src/queue.rs
+++ b/components/limits/src/queue.rs
@@ -277,6 +277,13 @@
         self.len() == 0
     }
 
+    /// Latest deadline of the waiting entries.
+    pub fn latest_deadline(&self) -> Option<Duration> {
+        let houses = self.lanes.iter().flat_map(|l| l.houses.values());
+        let waiting = houses.flat_map(|h| &h.entries);
+        waiting.map(|w| w.entry.deadline).max()
+    }
+
     /// Records how long a request held its slot; the averages predict waits.
     pub fn record_service_time(&mut self, class: Class, time: Duration) {
         let secs = time.as_secs_f64();
--- a/components/limits/src/slots/ledger.rs
+++ b/components/limits/src/slots/ledger.rs
@@ -7,70 +7,9 @@
 use error_stack::{Report, ResultExt as _};
 use serde::{Deserialize, Serialize};
 
+use super::error::{Error, Result};
 use super::split::Parts;
-
-/// Result of a ledger operation.
-pub type Result<T> = std::result::Result<T, Report<Error>>;
-
-/// Why a ledger operation failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Error {
-    /// The server is not in the configuration in force.
-    UnknownServer,
-    /// The loan has ended or was never made.
-    UnknownLoan,
-    /// The reply arrived after the end of the lease.
-    LeaseEnded,
-    /// No slot is idle.
-    NoIdleSlot,
-    /// This process was paused and has not been confirmed since.
-    Paused,
-}
-
-impl std::fmt::Display for Error {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
-            Error::UnknownServer => "server is not in the configuration in force",
-            Error::UnknownLoan => "slot loan has ended or was never made",
-            Error::LeaseEnded => "reply to a loan request arrived after the end of the lease",
-            Error::NoIdleSlot => "no idle slot to lend",
-            Error::Paused => "process was paused and is not confirmed by its peers yet",
-        })
-    }
-}
-
-impl std::error::Error for Error {}
-
-/// Time bounds.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    /// Term of a loan.
-    pub term: Duration,
-    /// Time before the end of its term at which a borrower stops, so that the cancellation of
-    /// its requests reaches the server in time.
-    pub margin: Duration,
-    /// Gap between ticks after which the process counts as paused.
-    pub pause_limit: Duration,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Settings {
-            term: Duration::from_millis(500),
-            margin: Duration::from_millis(25),
-            pause_limit: Duration::from_secs(2),
-        }
-    }
-}
-
-/// Request for a loan, kept by the borrower until the reply.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LoanRequest {
-    /// Server whose slots are wanted.
-    pub server: ServerId,
-    /// When the borrower sent it; the term counts from here.
-    pub sent: Duration,
-}
+use super::terms::{LoanRequest, Settings, Term};
 
 /// Reply of a lender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -159,6 +98,7 @@
 struct Lent {
     server: ServerId,
     slots: u32,
+    term: Term,
     until: Duration,
 }
 
@@ -167,7 +107,10 @@
     loan: u64,
     server: ServerId,
     slots: u32,
+    term: Term,
     until: Duration,
+    /// A request has used it.
+    used: bool,
 }
 
 /// Slots that one entry VM holds, lends and borrows.
@@ -334,9 +277,16 @@
         of_server.map(|(_, loan)| loan)
     }
 
-    /// Takes a slot. Binding work uses own slots only, because a request on a borrowed one is
-    /// cancelled when the lease ends; other work prefers borrowed slots and leaves the own ones.
-    pub fn acquire(&mut self, now: Duration, server: &ServerId, class: Class) -> Result<Permit> {
+    /// Takes a slot for a request with this deadline. Binding work cannot be cancelled when a
+    /// lease ends, so it uses borrowed slots only under a fixed term that outlasts its deadline. All
+    /// work prefers borrowed slots and leaves the own ones.
+    pub fn acquire(
+        &mut self,
+        now: Duration,
+        server: &ServerId,
+        class: Class,
+        deadline: Duration,
+    ) -> Result<Permit> {
         self.check_pause(now);
         if !self.confirmed {
             return Err(Report::new(Error::Paused));
@@ -344,11 +294,16 @@
         if !self.parts.contains_key(server) {
             return Err(Report::new(Error::UnknownServer).attach(server.clone()));
         }
-        let borrowed = self.free_borrowed(now, server);
-        let loan = borrowed.filter(|_| class != Class::Binding);
+        let loan = match class {
+            Class::Binding => self.free_fixed(now, server, deadline).next(),
+            Class::Idempotent | Class::Deferrable => self.free_borrowed(now, server).next(),
+        };
         if loan.is_none() && self.usage(now, server).free_own() == 0 {
             return Err(Report::new(Error::NoIdleSlot));
         }
+        if let Some(loan) = loan.and_then(|key| self.borrowed.get_mut(&key)) {
+            loan.used = true;
+        }
         self.next += 1;
         let permit = Permit {
             server: server.clone(),
@@ -358,15 +313,49 @@
         Ok(permit)
     }
 
-    /// Borrowed loan with an idle slot that a new request may take.
-    fn free_borrowed(&self, now: Duration, server: &ServerId) -> Option<u64> {
-        let usable = self.borrowed.iter().find(|(key, b)| {
+    /// Slots that binding work with this deadline may take.
+    pub fn free_binding(&self, now: Duration, server: &ServerId, deadline: Duration) -> u32 {
+        let fixed = self.free_fixed(now, server, deadline);
+        let fixed = fixed.map(|key| self.borrowed[&key].slots - self.used(key, server));
+        self.usage(now, server).free_own() + fixed.sum::<u32>()
+    }
+
+    /// Tells whether a request may still be sent on its slot: this process was not paused and the
+    /// loan of a borrowed slot has not ended.
+    pub fn may_send(&mut self, now: Duration, permit: &Permit) -> bool {
+        self.check_pause(now);
+        let runs = |key: &u64| {
+            let loan = self.borrowed.get(key);
+            loan.is_some_and(|b| now + self.settings.margin < b.until)
+        };
+        let loan = self.permits.get(permit);
+        self.confirmed && loan.is_some_and(|loan| loan.as_ref().is_none_or(runs))
+    }
+
+    /// Borrowed loans with an idle slot that a new request may take.
+    fn free_borrowed(&self, now: Duration, server: &ServerId) -> impl Iterator<Item = u64> {
+        let usable = self.borrowed.iter().filter(move |(key, b)| {
             b.server == *server && self.may_start(now, b) && self.used(**key, server) < b.slots
         });
         usable.map(|(key, _)| *key)
     }
 
-    /// New requests start only in the first half of a lease, so that it can be extended in time.
+    /// Borrowed loans with an idle slot and a fixed term that outlasts the deadline.
+    fn free_fixed(
+        &self,
+        now: Duration,
+        server: &ServerId,
+        deadline: Duration,
+    ) -> impl Iterator<Item = u64> {
+        let end = deadline + self.settings.fixed_margin;
+        self.free_borrowed(now, server).filter(move |key| {
+            let loan = &self.borrowed[key];
+            matches!(loan.term, Term::Fixed(_)) && end <= loan.until
+        })
+    }
+
+    /// New requests start only while half of an ordinary term is left, so that it can be extended
+    /// in time.
     fn may_start(&self, now: Duration, loan: &Borrowed) -> bool {
         loan.until.saturating_sub(now) > self.settings.term / 2
     }
@@ -390,8 +379,14 @@
         server: &ServerId,
         wanted: u32,
         reserve: u32,
+        term: Term,
     ) -> Result<Grant> {
         self.check_pause(now);
+        // The borrower counts the term that it asked for, so a longer one must not be shortened.
+        let length = self.settings.length(term);
+        if length > self.settings.max_term {
+            return Err(Report::new(Error::TermTooLong));
+        }
         if !self.confirmed {
             return Err(Report::new(Error::Paused));
         }
@@ -406,7 +401,8 @@
             Lent {
                 server: server.clone(),
                 slots,
-                until: now + self.settings.term,
+                term,
+                until: now + length,
             },
         );
         Ok(Grant {
@@ -419,6 +415,9 @@
     pub fn extend(&mut self, now: Duration, loan: u64) -> Result<()> {
         let lent = self.lent.get_mut(&loan).filter(|l| now < l.until);
         let lent = lent.ok_or_else(|| Report::new(Error::UnknownLoan))?;
+        if lent.term != Term::Renewable {
+            return Err(Report::new(Error::FixedTerm));
+        }
         lent.until = lent.until.max(now + self.settings.term);
         Ok(())
     }
@@ -430,7 +429,7 @@
 
     /// Accepts the reply to a request; call at most once per request.
     pub fn borrow(&mut self, now: Duration, request: &LoanRequest, grant: Grant) -> Result<u64> {
-        let until = request.sent + self.settings.term;
+        let until = request.sent + self.settings.length(request.term);
         if now + self.settings.margin >= until {
             return Err(Report::new(Error::LeaseEnded)).attach(request.server.clone());
         }
@@ -442,7 +441,9 @@
                 loan: grant.loan,
                 server: request.server.clone(),
                 slots: grant.slots,
+                term: request.term,
                 until,
+                used: false,
             },
         );
         Ok(key)
@@ -459,7 +460,7 @@
         let half = self.settings.term / 2;
         let due = self.borrowed.iter().filter(|(key, b)| {
             let in_use = self.permits_of(&b.server).any(|l| *l == Some(**key));
-            in_use && b.until.saturating_sub(now) <= half
+            in_use && b.term == Term::Renewable && b.until.saturating_sub(now) <= half
         });
         due.map(|(key, b)| Renewal {
             key: *key,
@@ -473,16 +474,23 @@
     pub fn extended(&mut self, key: u64, sent: Duration) -> Result<()> {
         let loan = self.borrowed.get_mut(&key);
         let loan = loan.ok_or_else(|| Report::new(Error::UnknownLoan))?;
+        if loan.term != Term::Renewable {
+            return Err(Report::new(Error::FixedTerm));
+        }
         loan.until = loan.until.max(sent + self.settings.term);
         Ok(())
     }
 
-    /// Gives up idle loans; returns the server and the lender's loan number of each.
-    pub fn give_back(&mut self) -> Vec<(ServerId, u64)> {
+    /// Gives up idle loans; returns the server and the lender's loan number of each. While
+    /// requests wait, it gives up only those with a fixed term whose request has ended.
+    pub fn give_back(&mut self, waiting: bool) -> Vec<(ServerId, u64)> {
         let in_use: Vec<u64> = self.permits.values().copied().flatten().collect();
+        let keep = |key: &u64, b: &Borrowed| {
+            in_use.contains(key) || waiting && (b.term == Term::Renewable || !b.used)
+        };
         let (kept, idle) = std::mem::take(&mut self.borrowed)
             .into_iter()
-            .partition(|(key, _)| in_use.contains(key));
+            .partition(|(key, b)| keep(key, b));
         self.borrowed = kept;
         idle.into_values().map(|b| (b.server, b.loan)).collect()
     }
--- a/components/load/src/model/run/attempts.rs
+++ b/components/load/src/model/run/attempts.rs
@@ -21,7 +21,10 @@
                 self.ask_for_slot(vm, service);
                 return;
             };
-            let Some(server) = desk.choose(self.now, class, &[], &mut self.rng) else {
+            // Whichever request is next, the slot must cover its deadline.
+            let latest = desk.queue.latest_deadline().unwrap_or_default();
+            let chosen = desk.choose(self.now, class, latest, &[], &mut self.rng);
+            let Some(server) = chosen else {
                 self.ask_for_slot(vm, service);
                 return;
             };
@@ -49,20 +52,21 @@
             self.drop_job(job, Refusal::Expired);
             return;
         }
+        let deadline = self.requests[job.request as usize].arrived + self.scenario.deadline;
         let desk = &mut self.vms[vm].desks[service];
         let mut server = server.clone();
         let mut work = work;
         if job.hedge {
             let first = self.requests[job.request as usize].attempts[0];
             let avoid = desk.servers[self.attempts[first as usize].server].clone();
-            let other = desk.choose(self.now, class, &[avoid], &mut self.rng);
+            let other = desk.choose(self.now, class, deadline, &[avoid], &mut self.rng);
             server = other.unwrap_or(server);
             work = draw(self.scenario.services[service].mean, &mut self.rng);
         } else {
             // Refused requests add nothing to the budget: servers never see them.
             desk.budget.record_request();
         }
-        let permit = desk.ledger.acquire(self.now, &server, class);
+        let permit = desk.ledger.acquire(self.now, &server, class, deadline);
         let permit = permit.expect("the chosen server has a free slot");
         desk.selector.started(self.now, &server);
         desk.deferrable += u32::from(class == Class::Deferrable);
--- a/components/load/src/model/vm.rs
+++ b/components/load/src/model/vm.rs
@@ -99,13 +99,14 @@
         &self,
         now: Duration,
         class: Class,
+        deadline: Duration,
         avoid: &[ServerId],
         rng: &mut fastrand::Rng,
     ) -> Option<ServerId> {
         let share = |id: &ServerId| {
             let usage = self.ledger.usage(now, id);
             let free = match class {
-                Class::Binding => usage.free_own(),
+                Class::Binding => self.ledger.free_binding(now, id, deadline),
                 Class::Idempotent | Class::Deferrable => usage.free(),
             };
             let allowed = self.index(id).is_some_and(|i| self.breakers[i].allows(now));
