--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -115,17 +115,24 @@
         self.lock().ledger.settled()
     }
 
-    /// Advances time: drops expired requests.
+    /// Advances time: drops requests that are expired or can no longer get a slot here.
     pub fn tick(self: &Arc<Self>) {
         let now = self.clock.uptime();
         let mut expired = Vec::new();
+        let mut stranded = Vec::new();
         {
             let mut inner = self.lock();
-            for state in inner.services.values_mut() {
+            let Inner {
+                ledger, services, ..
+            } = &mut *inner;
+            for state in services.values_mut() {
                 expired.extend(state.queue.expire(now));
+                let slots = state.slots(now, ledger);
+                stranded.extend(state.queue.take_stranded(slots));
             }
         }
         refuse(expired, Code::DeadlinePassed);
+        refuse(stranded, Code::QueueFull);
         self.pump_all();
     }
 
@@ -271,17 +278,20 @@
             .collect()
     }
 
-    fn release(self: &Arc<Self>, slot: &Slot) {
+    /// Records how the request of a slot ended.
+    fn finish(&self, slot: &Slot) {
         let now = self.clock.uptime();
-        {
-            let mut inner = self.lock();
-            inner.ledger.release(&slot.permit);
-            inner.cancels.remove(&slot.permit);
-            if let Some(state) = inner.services.get_mut(&slot.service) {
-                state.finish(now, slot);
-            }
+        let mut inner = self.lock();
+        inner.cancels.remove(&slot.permit);
+        if let Some(state) = inner.services.get_mut(&slot.service) {
+            state.finish(now, slot);
         }
-        self.pump(&slot.service);
+    }
+
+    /// Gives a slot to the next request.
+    fn release(self: &Arc<Self>, permit: &Permit, service: &ServiceId) {
+        self.lock().ledger.release(permit);
+        self.pump(service);
     }
 
     fn pump_all(self: &Arc<Self>) {
--- a/components/entry/src/admission/service.rs
+++ b/components/entry/src/admission/service.rs
@@ -166,6 +166,7 @@
             admission,
             permit,
             service: service.clone(),
+            class: self.class,
             address,
             cancelled,
             started: now,
--- a/components/entry/src/admission/slot.rs
+++ b/components/entry/src/admission/slot.rs
@@ -5,12 +5,17 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
-use config::{ServerId, ServiceId};
+use config::{Class, ServerId, ServiceId};
 use limits::slots::Permit;
 use routing::server::Outcome;
 
 use super::Admission;
 
+/// Longest time between the deadline here and at the server, which counts from the arrival.
+const DEADLINE_LAG: Duration = Duration::from_millis(100);
+/// Longest time until a server notices that the connection was closed.
+const CANCEL_LAG: Duration = Duration::from_millis(20);
+
 /// A slot of a backend server, held until it is dropped.
 pub struct Slot {
     /// Where it came from.
@@ -19,6 +24,8 @@
     pub(super) permit: Permit,
     /// Service.
     pub(super) service: ServiceId,
+    /// Class of the request.
+    pub(super) class: Class,
     /// Address of the server.
     pub address: SocketAddr,
     /// Closes when the slot was borrowed and its lease ends.
@@ -47,11 +54,32 @@
         let now = self.admission.clock.uptime();
         self.ended = Some((outcome, now.saturating_sub(self.started)));
     }
+
+    /// Returns the time for which the server may still work on the request.
+    fn release_pause(&self) -> Duration {
+        match self.ended {
+            Some((Outcome::Answered | Outcome::Shed, _)) => Duration::ZERO,
+            // A closed connection does not cancel binding work; its deadline ends it there.
+            _ if self.class == Class::Binding => DEADLINE_LAG,
+            _ => CANCEL_LAG,
+        }
+    }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         let admission = self.admission.clone();
-        admission.release(self);
+        admission.finish(self);
+        let (permit, service) = (self.permit.clone(), self.service.clone());
+        let pause = self.release_pause();
+        if pause.is_zero() {
+            admission.release(&permit, &service);
+            return;
+        }
+        runtime::spawn(async move {
+            runtime::sleep(pause).await;
+            admission.release(&permit, &service);
+        })
+        .detach();
     }
 }
