--- a/components/limits/src/slots.rs
+++ b/components/limits/src/slots.rs
@@ -9,8 +9,8 @@
 //!   when the lease ends. Until it runs again, or the server finishes them, the server may hold
 //!   up to that many requests more.
 //! - A *holder* that is paused until the others consider it gone keeps its requests in flight at
-//!   the server while its part is reassigned. Until it runs again, or the server finishes them,
-//!   the server may hold up to that many requests more. After the pause it starts nothing until
+//!   the server while its part is reassigned. Until the server finishes them, it may hold up to
+//!   that many requests more, also after the holder runs again. After the pause it starts nothing until
 //!   [`Ledger::confirm`], because [`Ledger::acquire`] detects the gap in its ticks. The same
 //!   holds for a VM that runs but is cut off from its peers while the VM list wrongly names it
 //!   as gone; that one continues to start requests within its part.
