Wait for slots before run-processes.sh sends requests

Cause: with release binaries the script sent its first request before the entry VMs counted each other, and got 503 with code 204. Ruled out: a retry of the request, which would hide a deployment that never gets slots. Change: the script waits until every service has free slots at every entry VM.

--- a/scripts/run-processes.sh
+++ b/scripts/run-processes.sh
@@ -143,9 +143,13 @@
 check_running
 "$cli" apply --platform "$platform" --inventory "$inventory" --rules "$rules" --base 0 \
     --author run-processes
-for ((i = 0; i < 20; i++)); do
+# An entry VM uses slots only after its peers count it, a moment after it has the configuration.
+has_slots() {
+    ! "$cli" status --platform "$platform" --json | grep -qE '"[a-z]+dienst": ?0[,}[:space:]]'
+}
+for ((i = 0; i < 40; i++)); do
     check_running
-    if "$cli" status --platform "$platform" >"$dir/status"; then break; fi
+    if "$cli" status --platform "$platform" >"$dir/status" && has_slots; then break; fi
     sleep 0.5
 done
 cat "$dir/status"
