--- a/components/deployment/src/caller.rs
+++ b/components/deployment/src/caller.rs
@@ -78,12 +78,17 @@
             let address = self.known[(start + i) % self.known.len()];
             let req = client::build(Method::Get, &format!("/lookup?service={service}"))
                 .change_context(Error::LookUp)?;
-            let options = ClientOptions { timeout: self.deadline, ..ClientOptions::default() };
+            let options = ClientOptions {
+                timeout: self.deadline,
+                ..ClientOptions::default()
+            };
             let Ok(mut res) = Box::pin(client::request(address, req, &options)).await else {
                 continue;
             };
             if res.status().is_success() {
-                return client::parse_json(&mut res).await.change_context(Error::LookUp);
+                return client::parse_json(&mut res)
+                    .await
+                    .change_context(Error::LookUp);
             }
         }
         Err(Report::new(Error::LookUp).attach(service.to_owned()))
@@ -91,7 +96,9 @@
 
     /// Does a piece of work; a binding one keeps its ticket over all attempts.
     pub async fn perform(&self, work: &Work) -> Answer {
-        let Ok(mut found) = self.look_up(&work.service).await else { return Answer::NotRun(0) };
+        let Ok(mut found) = self.look_up(&work.service).await else {
+            return Answer::NotRun(0);
+        };
         let mut last = Answer::NotRun(0);
         let mut unsure = false;
         for attempt in 0..MAX_ATTEMPTS {
@@ -124,11 +131,18 @@
         ticket: Option<&str>,
     ) -> std::result::Result<Answer, HttpError> {
         let path = format!("/work/{}", work.id);
-        let method = if work.binding { Method::Post } else { Method::Get };
+        let method = if work.binding {
+            Method::Post
+        } else {
+            Method::Get
+        };
         let mut req = client::build(method, &path).map_err(|e| *e.current_context())?;
         req.insert_header(entry::SERVICE_HEADER, &*work.service);
         req.insert_header(entry::HOUSE_HEADER, &*work.house);
-        req.insert_header(entry::DEADLINE_HEADER, self.deadline.as_millis().to_string());
+        req.insert_header(
+            entry::DEADLINE_HEADER,
+            self.deadline.as_millis().to_string(),
+        );
         req.insert_header("x-request-id", &*work.id);
         req.insert_header("x-execution-id", &*work.id);
         req.insert_header("x-answer-bytes", work.answer_bytes.to_string());
@@ -136,7 +150,10 @@
             req.insert_header(entry::TICKET_HEADER, ticket);
             req.set_body(Body::from_bytes(work.id.as_bytes().to_vec()));
         }
-        let options = ClientOptions { timeout: self.deadline, ..ClientOptions::default() };
+        let options = ClientOptions {
+            timeout: self.deadline,
+            ..ClientOptions::default()
+        };
         let res = Box::pin(client::request(address, req, &options)).await;
         read(res.map_err(|e| *e.current_context())?, work, &path).await
     }
@@ -147,9 +164,18 @@
     work: &Work,
     path: &str,
 ) -> std::result::Result<Answer, HttpError> {
-    if let Some(code) = res.header(CODE_HEADER).and_then(|c| c.as_str().parse().ok()) {
-        let not_run = res.header(OUTCOME_HEADER).is_some_and(|o| o.as_str() == "not-run");
-        return Ok(if not_run { Answer::NotRun(code) } else { Answer::Unknown(code) });
+    if let Some(code) = res
+        .header(CODE_HEADER)
+        .and_then(|c| c.as_str().parse().ok())
+    {
+        let not_run = res
+            .header(OUTCOME_HEADER)
+            .is_some_and(|o| o.as_str() == "not-run");
+        return Ok(if not_run {
+            Answer::NotRun(code)
+        } else {
+            Answer::Unknown(code)
+        });
     }
     let echo: Echo = match client::parse_json(&mut res).await {
         Ok(echo) => echo,
--- a/components/deployment/src/running.rs
+++ b/components/deployment/src/running.rs
@@ -7,7 +7,9 @@
 use async_channel::Sender;
 use async_executor::Task;
 use async_net::TcpListener;
-use config::{Class, Configuration, EntryVm, EntryVmId, Generation, KeySettings, ServerId, Settings};
+use config::{
+    Class, Configuration, EntryVm, EntryVmId, Generation, KeySettings, ServerId, Settings,
+};
 use error_stack::{Report, ResultExt};
 use http::Method;
 use http::client::{self, ClientOptions};
@@ -95,7 +97,9 @@
             vm_list_lag: options.vm_list_lag,
             ..PlatformSettings::default()
         });
-        let listener = TcpListener::bind("127.0.0.1:0").await.change_context(Error::Listen)?;
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .change_context(Error::Listen)?;
         let platform_address = listener.local_addr().change_context(Error::Listen)?;
         let (tx, rx) = async_channel::bounded(1);
         runtime::spawn(serve_platform(listener, platform.clone(), rx)).detach();
@@ -109,7 +113,9 @@
             vms: BTreeMap::new(),
             stops,
         };
-        deployment.apply(0, &deployment.configuration.clone()).await?;
+        deployment
+            .apply(0, &deployment.configuration.clone())
+            .await?;
         for vm in deployment.configuration.inventory.entry_vms.clone() {
             deployment.start_entry_vm(&vm);
         }
@@ -128,7 +134,12 @@
 
     /// Returns the settings of an entry VM.
     pub fn settings_of(&self, vm: &EntryVm) -> Settings {
-        let others = self.configuration.inventory.entry_vms.iter().filter(|v| v.id != vm.id);
+        let others = self
+            .configuration
+            .inventory
+            .entry_vms
+            .iter()
+            .filter(|v| v.id != vm.id);
         Settings {
             id: vm.id.clone(),
             domain: vm.domain.clone(),
@@ -137,7 +148,10 @@
             operator_address: vm.operator_address,
             platform: vec![self.platform_address],
             seeds: others.map(|v| v.peer_address).take(3).collect(),
-            keys: vec![KeySettings { id: 1, secret: "key of a deployment on loopback".into() }],
+            keys: vec![KeySettings {
+                id: 1,
+                secret: "key of a deployment on loopback".into(),
+            }],
             ..Settings::default()
         }
     }
@@ -161,7 +175,9 @@
 
     /// Stops an entry VM gracefully; returns when it has ended.
     pub async fn stop_entry_vm(&mut self, id: &str) -> bool {
-        let Some(vm) = self.vms.remove(id) else { return false };
+        let Some(vm) = self.vms.remove(id) else {
+            return false;
+        };
         self.platform.put_vm(id, VmState::Leaving);
         drop(vm.stop);
         let ended = vm.task.await.is_ok();
@@ -182,7 +198,8 @@
 
     /// Waits until every running entry VM has slots.
     async fn wait_ready(&self) -> Result<Duration> {
-        self.wait(|status| status.free_slots.values().any(|free| *free > 0)).await
+        self.wait(|status| status.free_slots.values().any(|free| *free > 0))
+            .await
     }
 
     async fn wait(&self, is_met: impl Fn(&Status) -> bool) -> Result<Duration> {
@@ -192,7 +209,10 @@
                 if started.elapsed() > READY_LIMIT {
                     return Err(Report::new(Error::NotReady).attach(vm.id.to_string()));
                 }
-                if read_status(vm.operator_address).await.is_ok_and(|s| is_met(&s)) {
+                if read_status(vm.operator_address)
+                    .await
+                    .is_ok_and(|s| is_met(&s))
+                {
                     break;
                 }
                 runtime::sleep(Duration::from_millis(20)).await;
@@ -226,8 +246,15 @@
     let mut servers = BTreeMap::new();
     for (i, known) in configuration.inventory.servers.iter().enumerate() {
         let services = &configuration.inventory.services;
-        let class = services.iter().find(|s| s.id == known.service).map(|s| s.class);
-        let factor = if class == Some(Class::Deferrable) { options.deferrable_factor } else { 1 };
+        let class = services
+            .iter()
+            .find(|s| s.id == known.service)
+            .map(|s| s.class);
+        let factor = if class == Some(Class::Deferrable) {
+            options.deferrable_factor
+        } else {
+            1
+        };
         let server = Server::new(ServerSettings {
             name: known.id.clone(),
             slots: known.slots as usize,
@@ -238,7 +265,9 @@
             seed: options.seed + i as u64,
             ..ServerSettings::default()
         });
-        let listener = TcpListener::bind(known.address).await.change_context(Error::Listen)?;
+        let listener = TcpListener::bind(known.address)
+            .await
+            .change_context(Error::Listen)?;
         let (tx, rx) = async_channel::bounded(1);
         runtime::spawn(serve_server(listener, server.clone(), rx)).detach();
         stops.push(tx);
@@ -249,9 +278,14 @@
 
 async fn read_status(address: SocketAddr) -> Result<Status> {
     let req = client::build(Method::Get, "/status").change_context(Error::Exchange)?;
-    let options = ClientOptions { timeout: Duration::from_secs(1), ..ClientOptions::default() };
+    let options = ClientOptions {
+        timeout: Duration::from_secs(1),
+        ..ClientOptions::default()
+    };
     let mut res = Box::pin(client::request(address, req, &options))
         .await
         .change_context(Error::Exchange)?;
-    client::parse_json(&mut res).await.change_context(Error::Exchange)
+    client::parse_json(&mut res)
+        .await
+        .change_context(Error::Exchange)
 }
--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -98,15 +98,24 @@
     /// Creates an admission without servers.
     pub fn new(clock: Clock, rng: fastrand::Rng) -> Arc<Self> {
         let ledger = Ledger::new(limits::slots::Settings::default(), clock.uptime());
-        let inner = Inner { ledger, services: BTreeMap::new(), rng };
-        Arc::new(Admission { clock, inner: Mutex::new(inner) })
+        let inner = Inner {
+            ledger,
+            services: BTreeMap::new(),
+            rng,
+        };
+        Arc::new(Admission {
+            clock,
+            inner: Mutex::new(inner),
+        })
     }
 
     /// Takes over the services, servers and drains of a configuration.
     pub fn adopt(&self, cfg: &InForce, domain: &str) {
         let mut inner = self.lock();
         let known = &cfg.configuration.inventory.services;
-        inner.services.retain(|id, _| known.iter().any(|s| s.id == *id));
+        inner
+            .services
+            .retain(|id, _| known.iter().any(|s| s.id == *id));
         for service in known {
             let state = inner
                 .services
@@ -180,9 +189,13 @@
 
     fn change_server(&self, server: &str, change: impl Fn(&mut ServerState)) {
         for service in self.lock().services.values_mut() {
-            let Some((id, _)) = service.servers.get_key_value(server) else { continue };
+            let Some((id, _)) = service.servers.get_key_value(server) else {
+                continue;
+            };
             let id = id.clone();
-            let Some(known) = service.servers.get_mut(server) else { continue };
+            let Some(known) = service.servers.get_mut(server) else {
+                continue;
+            };
             change(known);
             service.selector.set_state(&id, known.effective());
         }
@@ -203,8 +216,12 @@
     fn enqueue(&self, meta: &Meta, waiter: Waiter) -> Result<(), Code> {
         let now = self.clock.uptime();
         let mut inner = self.lock();
-        let Inner { ledger, services, .. } = &mut *inner;
-        let state = services.get_mut(&meta.service).ok_or(Code::UnknownService)?;
+        let Inner {
+            ledger, services, ..
+        } = &mut *inner;
+        let state = services
+            .get_mut(&meta.service)
+            .ok_or(Code::UnknownService)?;
         let slots = state.slots(ledger);
         if slots.total == 0 {
             return Err(Code::NoServer);
@@ -233,7 +250,11 @@
     pub fn try_acquire(self: &Arc<Self>, meta: &Meta, avoid: &Avoid) -> Option<Slot> {
         let now = self.clock.uptime();
         let mut inner = self.lock();
-        let Inner { ledger, services, rng } = &mut *inner;
+        let Inner {
+            ledger,
+            services,
+            rng,
+        } = &mut *inner;
         let state = services.get_mut(&meta.service)?;
         let slots = state.slots(ledger);
         if slots.in_use >= slots.total || !state.queue.is_empty() {
@@ -250,13 +271,20 @@
     /// Returns the time after which a request is hedged.
     pub fn hedge_delay(&self, meta: &Meta) -> Option<Duration> {
         let now = self.clock.uptime();
-        self.lock().services.get(&meta.service)?.hedge.delay(meta.class, now, meta.deadline)
+        self.lock()
+            .services
+            .get(&meta.service)?
+            .hedge
+            .delay(meta.class, now, meta.deadline)
     }
 
     /// Takes a retry from the budget.
     pub fn may_retry(&self, service: &ServiceId, reason: Reason) -> bool {
-        let granted =
-            self.lock().services.get_mut(service).is_some_and(|s| s.budget.take(reason));
+        let granted = self
+            .lock()
+            .services
+            .get_mut(service)
+            .is_some_and(|s| s.budget.take(reason));
         let result = if granted { "granted" } else { "denied" };
         metrics::counter!("retries_total", "reason" => reason.label(), "result" => result)
             .increment(1);
@@ -272,7 +300,13 @@
             .map(|(id, state)| {
                 let slots = state.slots(&inner.ledger);
                 let waiting = u32::try_from(state.queue.len()).unwrap_or(u32::MAX);
-                (id.clone(), slots.total.saturating_sub(slots.in_use).saturating_sub(waiting))
+                (
+                    id.clone(),
+                    slots
+                        .total
+                        .saturating_sub(slots.in_use)
+                        .saturating_sub(waiting),
+                )
             })
             .collect()
     }
@@ -304,10 +338,19 @@
     fn start_next(self: &Arc<Self>, service: &ServiceId) -> bool {
         let now = self.clock.uptime();
         let mut inner = self.lock();
-        let Inner { ledger, services, rng } = &mut *inner;
-        let Some(state) = services.get_mut(service) else { return false };
+        let Inner {
+            ledger,
+            services,
+            rng,
+        } = &mut *inner;
+        let Some(state) = services.get_mut(service) else {
+            return false;
+        };
         let no_avoid = Avoid::new();
-        if state.choose(now, ledger, &no_avoid, Class::Idempotent, rng).is_none() {
+        if state
+            .choose(now, ledger, &no_avoid, Class::Idempotent, rng)
+            .is_none()
+        {
             return false;
         }
         let popped = state.queue.pop(now, state.slots(ledger));
@@ -321,7 +364,9 @@
         });
         drop(inner);
         refuse(popped.expired, Code::DeadlinePassed);
-        let Some((tx, result)) = started else { return false };
+        let Some((tx, result)) = started else {
+            return false;
+        };
         // A failed send drops the slot, which releases it: the caller has left.
         let _ = tx.try_send(result);
         true
@@ -334,7 +379,11 @@
 
 impl ServerState {
     fn effective(&self) -> State {
-        if self.drained || self.listed_leaving { State::Leaving } else { self.reported }
+        if self.drained || self.listed_leaving {
+            State::Leaving
+        } else {
+            self.reported
+        }
     }
 }
 
@@ -376,7 +425,10 @@
 
     /// Sums the slots of the servers that take new work.
     fn slots(&self, ledger: &Ledger) -> Slots {
-        let mut slots = Slots { deferrable: self.deferrable, ..Slots::default() };
+        let mut slots = Slots {
+            deferrable: self.deferrable,
+            ..Slots::default()
+        };
         for (id, server) in &self.servers {
             let usage = ledger.usage(id);
             let in_use = usage.own + usage.borrowed_in_use;
@@ -400,10 +452,14 @@
     ) -> Option<ServerId> {
         let share = |id: &ServerId| {
             let usage = ledger.usage(id);
-            Share { slots: usage.part + usage.borrowed, free: usage.free() }
+            Share {
+                slots: usage.part + usage.borrowed,
+                free: usage.free(),
+            }
         };
         // Only work that may run again is risked on a server under suspicion.
-        self.selector.choose(now, share, avoid, class != Class::Binding, rng)
+        self.selector
+            .choose(now, share, avoid, class != Class::Binding, rng)
     }
 
     fn start(
@@ -419,7 +475,15 @@
             self.deferrable += 1;
         }
         let address = self.servers[&permit.server].address;
-        Slot { admission, permit, service: service.clone(), class, address, started: now, ended: None }
+        Slot {
+            admission,
+            permit,
+            service: service.clone(),
+            class,
+            address,
+            started: now,
+            ended: None,
+        }
     }
 
     fn finish(&mut self, now: Duration, slot: &Slot) {
@@ -428,7 +492,8 @@
         }
         let held = now.saturating_sub(slot.started);
         let (outcome, latency) = slot.ended.unwrap_or((Outcome::Cancelled, held));
-        self.selector.finished(now, &slot.permit.server, latency, outcome);
+        self.selector
+            .finished(now, &slot.permit.server, latency, outcome);
         if outcome == Outcome::Answered {
             self.queue.record_service_time(held);
             self.hedge.record(now, latency);
--- a/components/entry/src/agents/configuration.rs
+++ b/components/entry/src/agents/configuration.rs
@@ -65,7 +65,9 @@
 
 /// Returns the time between two reads of the head, with jitter.
 fn poll_interval(node: &Node) -> Duration {
-    let nodes = node.in_force().map_or(0, |c| c.configuration.inventory.entry_vms.len() as u64);
+    let nodes = node
+        .in_force()
+        .map_or(0, |c| c.configuration.inventory.entry_vms.len() as u64);
     let mean = Duration::from_secs((nodes / HEAD_READS_PER_SECOND).max(1));
     mean.mul_f64(0.8 + 0.4 * fastrand::f64())
 }
@@ -76,7 +78,10 @@
         Ok(head) => head,
         Err(report) => {
             metrics::counter!("platform_reads_failed_total").increment(1);
-            log::debug!("event=head_read_failed error=\"{}\"", report.current_context());
+            log::debug!(
+                "event=head_read_failed error=\"{}\"",
+                report.current_context()
+            );
             return false;
         }
     };
@@ -108,16 +113,24 @@
 
 /// Asks a peer for a configuration newer than the own one.
 pub async fn pull(node: &Arc<Node>, address: SocketAddr) {
-    let question = Question { known: node.generation() };
+    let question = Question {
+        known: node.generation(),
+    };
     let sign = |bytes: &[u8]| node.sign(bytes);
-    let options = http::client::ClientOptions { max_body: 64 << 20, ..short_exchange() };
+    let options = http::client::ClientOptions {
+        max_body: 64 << 20,
+        ..short_exchange()
+    };
     match http::peer::call::<_, Answer>(address, PATH, &question, sign, &options).await {
         Ok(answer) if answer.generation > node.generation() => {
             offer(node, answer.generation, &answer.object, answer.bytes);
         }
         Ok(_) => {}
         Err(report) => {
-            log::debug!("event=pull_failed peer={address} error=\"{}\"", report.current_context());
+            log::debug!(
+                "event=pull_failed peer={address} error=\"{}\"",
+                report.current_context()
+            );
         }
     }
 }
@@ -174,7 +187,10 @@
         let own = domain.id == node.settings.domain;
         targets.extend(vms.into_iter().take(if own { DOMAIN_FAN_OUT } else { 1 }));
     }
-    let notice = Notice { generation, address: node.settings.peer_address };
+    let notice = Notice {
+        generation,
+        address: node.settings.peer_address,
+    };
     let mut tasks = Vec::new();
     for address in targets {
         let node = node.clone();
--- a/components/entry/src/agents/digests.rs
+++ b/components/entry/src/agents/digests.rs
@@ -22,7 +22,11 @@
     while ticks.recv().await.is_ok() {
         let Some(cfg) = node.in_force() else { continue };
         let mut rng = fastrand::Rng::new();
-        for domain in cfg.domains().iter().filter(|d| d.id != node.settings.domain) {
+        for domain in cfg
+            .domains()
+            .iter()
+            .filter(|d| d.id != node.settings.domain)
+        {
             let vms: Vec<_> = cfg.entry_vms_of(&domain.id).collect();
             if let Some(vm) = rng.choice(&vms) {
                 runtime::spawn(fetch(node.clone(), vm.peer_address)).detach();
--- a/components/entry/src/agents/health.rs
+++ b/components/entry/src/agents/health.rs
@@ -38,7 +38,13 @@
     while ticks.recv().await.is_ok() {
         let Some(cfg) = node.in_force() else { continue };
         let domain = &node.settings.domain;
-        for server in cfg.configuration.inventory.servers.iter().filter(|s| s.domain == *domain) {
+        for server in cfg
+            .configuration
+            .inventory
+            .servers
+            .iter()
+            .filter(|s| s.domain == *domain)
+        {
             runtime::spawn(probe(node.clone(), server.id.clone(), server.address)).detach();
         }
     }
@@ -46,7 +52,9 @@
 
 /// Asks one server; silence changes nothing, because requests show failures sooner.
 async fn probe(node: Arc<Node>, server: ServerId, address: std::net::SocketAddr) {
-    let Ok(req) = client::build(Method::Get, "/health") else { return };
+    let Ok(req) = client::build(Method::Get, "/health") else {
+        return;
+    };
     let measured = node.now();
     let health = async {
         let mut res = client::request(address, req, &short_exchange()).await?;
@@ -61,6 +69,10 @@
         HealthState::Leaving => State::Leaving,
         HealthState::Starting => State::Starting,
     };
-    let report = LoadReport { measured, busy: health.busy, slots: health.slots };
+    let report = LoadReport {
+        measured,
+        busy: health.busy,
+        slots: health.slots,
+    };
     node.admission.set_health(&server, state, report);
 }
--- a/components/entry/src/agents/heartbeats.rs
+++ b/components/entry/src/agents/heartbeats.rs
@@ -26,7 +26,9 @@
 pub async fn run(node: Arc<Node>, ticks: Receiver<std::time::Duration>) {
     while ticks.recv().await.is_ok() {
         let now = node.now();
-        let contacts = node.lock_membership().peers_to_contact(now, &mut fastrand::Rng::new());
+        let contacts = node
+            .lock_membership()
+            .peers_to_contact(now, &mut fastrand::Rng::new());
         for peer in contacts {
             runtime::spawn(exchange(node.clone(), peer)).detach();
         }
@@ -37,7 +39,9 @@
 
 /// Sends one heartbeat and takes the peer's own in return.
 async fn exchange(node: Arc<Node>, peer: EntryVmId) {
-    let Some(address) = node.in_force().and_then(|c| c.entry_vm(&peer).map(|v| v.peer_address))
+    let Some(address) = node
+        .in_force()
+        .and_then(|c| c.entry_vm(&peer).map(|v| v.peer_address))
     else {
         return;
     };
@@ -51,7 +55,10 @@
         }
         Err(report) => {
             metrics::counter!("heartbeats_failed_total").increment(1);
-            log::debug!("event=heartbeat_failed peer={peer} error=\"{}\"", report.current_context());
+            log::debug!(
+                "event=heartbeat_failed peer={peer} error=\"{}\"",
+                report.current_context()
+            );
         }
     }
 }
@@ -60,9 +67,18 @@
 pub fn own(node: &Node) -> Message {
     let generation = node.generation();
     let free = node.admission.free_slots().values().sum();
-    let heartbeat = node.lock_membership().heartbeat(generation, free, node.now());
-    let settled = if node.admission.is_settled() { generation } else { 0 };
-    Message { heartbeat: HeartbeatWire::from(&heartbeat), settled }
+    let heartbeat = node
+        .lock_membership()
+        .heartbeat(generation, free, node.now());
+    let settled = if node.admission.is_settled() {
+        generation
+    } else {
+        0
+    };
+    Message {
+        heartbeat: HeartbeatWire::from(&heartbeat),
+        settled,
+    }
 }
 
 /// Takes a peer's heartbeat.
@@ -78,12 +94,17 @@
             node.refresh_split();
         }
         Heard::OwnId => {
-            log::error!("event=duplicate_vm_id vm={} fix=\"give each VM its own id\"", heartbeat.vm);
+            log::error!(
+                "event=duplicate_vm_id vm={} fix=\"give each VM its own id\"",
+                heartbeat.vm
+            );
         }
         _ => {}
     }
     if heartbeat.generation > node.generation() {
-        let address = node.in_force().and_then(|c| c.entry_vm(&heartbeat.vm).map(|v| v.peer_address));
+        let address = node
+            .in_force()
+            .and_then(|c| c.entry_vm(&heartbeat.vm).map(|v| v.peer_address));
         if let Some(address) = address {
             configuration::pull(node, address).await;
         }
--- a/components/entry/src/agents/vm_list.rs
+++ b/components/entry/src/agents/vm_list.rs
@@ -15,11 +15,18 @@
             Ok(vms) => vms,
             Err(report) => {
                 metrics::counter!("platform_reads_failed_total").increment(1);
-                log::debug!("event=vm_list_failed error=\"{}\"", report.current_context());
+                log::debug!(
+                    "event=vm_list_failed error=\"{}\"",
+                    report.current_context()
+                );
                 continue;
             }
         };
-        let of = |state| vms.iter().filter(move |v| v.state == state).map(|v| v.id.clone());
+        let of = |state| {
+            vms.iter()
+                .filter(move |v| v.state == state)
+                .map(|v| v.id.clone())
+        };
         for server in of(VmState::Leaving) {
             node.admission.set_listed_leaving(&server, true);
         }
@@ -27,7 +34,8 @@
             node.admission.set_listed_leaving(&server, false);
         }
         let now = node.now();
-        node.lock_membership().on_vm_list(of(VmState::Live), of(VmState::Leaving), now);
+        node.lock_membership()
+            .on_vm_list(of(VmState::Live), of(VmState::Leaving), now);
         node.refresh_split();
     }
 }
--- a/components/entry/src/bin/rosemaryglade-entry.rs
+++ b/components/entry/src/bin/rosemaryglade-entry.rs
@@ -28,7 +28,10 @@
                 .help("Settings of this entry VM, JSON with comments"),
         )
         .get_matches();
-    let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
+    let path = matches
+        .get_one::<PathBuf>("settings")
+        .cloned()
+        .unwrap_or_default();
     let settings = match read(&path) {
         Ok(settings) => settings,
         Err((code, message)) => {
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -15,7 +15,7 @@
 #[derive(Debug)]
 pub enum Attempt {
     /// The server answered.
-    Answer(Response),
+    Answer(Box<Response>),
     /// The server surely did not run the request.
     NotRun(NotRun),
     /// The server may have run the request.
@@ -42,7 +42,9 @@
 
 /// Opens a new connection; `None` means that nothing was sent.
 pub async fn connect(addr: SocketAddr, remaining: Duration) -> Option<TcpStream> {
-    client::connect(addr, CONNECT_TIMEOUT.min(remaining)).await.ok()
+    client::connect(addr, CONNECT_TIMEOUT.min(remaining))
+        .await
+        .ok()
 }
 
 /// Sends a request on a connection and reads the answer.
@@ -69,7 +71,7 @@
         Some(length) if length as u64 <= limits.buffered => {
             buffer(res, remaining.saturating_sub(started.elapsed())).await
         }
-        _ => Attempt::Answer(res),
+        _ => Attempt::Answer(Box::new(res)),
     }
 }
 
@@ -78,7 +80,7 @@
     match runtime::timeout(limit, res.body_bytes()).await {
         Some(Ok(bytes)) => {
             res.set_body(Body::from_bytes(bytes));
-            Attempt::Answer(res)
+            Attempt::Answer(Box::new(res))
         }
         Some(Err(_)) => Attempt::Unknown(Code::AnswerCut),
         None => Attempt::Unknown(Code::AnswerTimeout),
--- a/components/entry/src/in_force.rs
+++ b/components/entry/src/in_force.rs
@@ -40,13 +40,29 @@
         configuration: Configuration,
     ) -> Self {
         let inventory = &configuration.inventory;
-        let classes = inventory.services.iter().map(|s| (s.id.clone(), s.class)).collect();
-        let regions =
-            inventory.domains.iter().map(|d| (d.id.clone(), d.region.clone())).collect();
+        let classes = inventory
+            .services
+            .iter()
+            .map(|s| (s.id.clone(), s.class))
+            .collect();
+        let regions = inventory
+            .domains
+            .iter()
+            .map(|d| (d.id.clone(), d.region.clone()))
+            .collect();
         // The checks of the configuration have already refused invalid blocks.
         let (blocks, sites) =
             BlockMap::from_inventory(&inventory.client_blocks).unwrap_or_default();
-        InForce { generation, object, bytes, classes, blocks, sites, regions, configuration }
+        InForce {
+            generation,
+            object,
+            bytes,
+            configuration,
+            classes,
+            blocks,
+            sites,
+            regions,
+        }
     }
 
     /// Returns the rules.
@@ -72,20 +88,24 @@
 
     /// Returns the entry VM with this id.
     pub fn entry_vm(&self, id: &str) -> Option<&EntryVm> {
-        self.configuration.inventory.entry_vms.iter().find(|v| &*v.id == id)
+        self.configuration
+            .inventory
+            .entry_vms
+            .iter()
+            .find(|v| &*v.id == id)
     }
 
     /// Returns all entry VMs of a failure domain.
     pub fn entry_vms_of(&self, domain: &str) -> impl Iterator<Item = &EntryVm> {
-        self.configuration.inventory.entry_vms.iter().filter(move |v| &*v.domain == domain)
+        self.configuration
+            .inventory
+            .entry_vms
+            .iter()
+            .filter(move |v| &*v.domain == domain)
     }
 
     /// Returns all backend servers of a service in a failure domain.
-    pub fn servers_of(
-        &self,
-        service: &str,
-        domain: &str,
-    ) -> impl Iterator<Item = &BackendServer> {
+    pub fn servers_of(&self, service: &str, domain: &str) -> impl Iterator<Item = &BackendServer> {
         self.configuration
             .inventory
             .servers
@@ -102,7 +122,9 @@
     pub fn is_domain_drained(&self, domain: &str) -> bool {
         let drains = &self.rules().drains;
         drains.domains.iter().any(|d| &**d == domain)
-            || self.region(domain).is_some_and(|r| drains.regions.contains(r))
+            || self
+                .region(domain)
+                .is_some_and(|r| drains.regions.contains(r))
     }
 
     /// Tells whether a backend server takes no new work.
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -51,19 +51,28 @@
         max_body: node.settings.max_request_body,
         ..ServerOptions::default()
     };
-    let peer_options =
-        ServerOptions { max_body: node.settings.max_request_body + (1 << 16), ..options.clone() };
+    let peer_options = ServerOptions {
+        max_body: node.settings.max_request_body + (1 << 16),
+        ..options.clone()
+    };
     let n = node.clone();
-    let callers = runtime::spawn(serve(callers, options.clone(), listeners_stop.clone(), move |r| {
-        listeners::caller(n.clone(), r)
-    }));
+    let callers = runtime::spawn(serve(
+        callers,
+        options.clone(),
+        listeners_stop.clone(),
+        move |r| listeners::caller(n.clone(), r),
+    ));
     let n = node.clone();
-    let peers = runtime::spawn(serve(peers, peer_options, listeners_stop.clone(), move |r| {
-        listeners::peer(n.clone(), r)
-    }));
+    let peers = runtime::spawn(serve(
+        peers,
+        peer_options,
+        listeners_stop.clone(),
+        move |r| listeners::peer(n.clone(), r),
+    ));
     let n = node.clone();
     let operators = runtime::spawn(serve(operators, options, listeners_stop, move |r| {
-        listeners::operator(n.clone(), r)
+        let n = n.clone();
+        async move { operator::serve(&n, &r) }
     }));
     let timer = TimerService::start(node.clock);
     start_agents(&node, &timer);
@@ -87,13 +96,20 @@
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.change_context(Error::Listen).attach_with(|| address)
+    TcpListener::bind(address)
+        .await
+        .change_context(Error::Listen)
+        .attach_with(|| address)
 }
 
 fn start_agents(node: &Arc<Node>, timer: &TimerService) {
     use agents::{configuration, digests, health, heartbeats, vm_list};
     let n = || node.clone();
-    runtime::spawn(configuration::run(n(), timer.subscribe(CONFIGURATION_PERIOD))).detach();
+    runtime::spawn(configuration::run(
+        n(),
+        timer.subscribe(CONFIGURATION_PERIOD),
+    ))
+    .detach();
     runtime::spawn(heartbeats::run(n(), timer.subscribe(HEARTBEAT_PERIOD))).detach();
     runtime::spawn(digests::run(n(), timer.subscribe(SLOW_PERIOD))).detach();
     runtime::spawn(health::run(n(), timer.subscribe(SLOW_PERIOD))).detach();
@@ -107,7 +123,10 @@
     let ticks = timer.subscribe(STOP_CHECK_PERIOD);
     while let Ok(now) = ticks.recv().await {
         let work = node.lock_work();
-        let is_needed = work.records.last_expiry().is_some_and(|expiry| now < expiry);
+        let is_needed = work
+            .records
+            .last_expiry()
+            .is_some_and(|expiry| now < expiry);
         if work.records.running() == 0 && !is_needed {
             return;
         }
--- a/components/entry/src/listeners.rs
+++ b/components/entry/src/listeners.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use config::Class;
-use http::codes::{self, Code};
+use http::codes::{self, Code, Refusal};
 use http::{Method, Request, Response};
 
 use crate::agents::{configuration, digests, heartbeats};
 use crate::node::Node;
 use crate::request::{Meta, Outgoing};
-use crate::{look_up, operator, peer, relay, steer, work};
+use crate::{look_up, peer, relay, steer, work};
 
 /// Path of look-ups.
 pub const LOOK_UP_PATH: &str = "/lookup";
@@ -22,17 +22,17 @@
     }
     match read(&node, &req) {
         Ok(meta) => serve(&node, meta, req).await,
-        Err(res) => res,
+        Err(refusal) => refusal.response(),
     }
 }
 
-fn read(node: &Node, req: &Request) -> Result<Meta, Response> {
+fn read(node: &Node, req: &Request) -> Result<Meta, Refusal> {
     let Some(cfg) = node.in_force() else {
-        return Err(codes::refusal(Code::NoConfiguration, "try another entry VM"));
+        return Err(Refusal::new(Code::NoConfiguration, "try another entry VM"));
     };
     let default = Duration::from_millis(cfg.rules().default_deadline_ms);
     Meta::read(req, node.now(), default, |s| cfg.class(s))
-        .map_err(|(code, detail)| codes::refusal(code, detail))
+        .map_err(|(code, detail)| Refusal::new(code, detail))
 }
 
 async fn serve(node: &Arc<Node>, meta: Meta, req: Request) -> Response {
@@ -64,22 +64,22 @@
                 heartbeats::take(&node, message).await;
                 http::peer::answer(&heartbeats::own(&node))
             }
-            Err(res) => res,
+            Err(refusal) => refusal.response(),
         },
         digests::PATH => match read_message::<digests::Question>(&node, &mut req).await {
             Ok(_) => http::peer::answer(&digests::own(&node)),
-            Err(res) => res,
+            Err(refusal) => refusal.response(),
         },
         configuration::PATH => match read_message(&node, &mut req).await {
             Ok(question) => http::peer::answer(&configuration::answer(&node, &question)),
-            Err(res) => res,
+            Err(refusal) => refusal.response(),
         },
         configuration::NOTICE_PATH => match read_message(&node, &mut req).await {
             Ok(notice) => {
                 configuration::take_notice(&node, &notice);
                 http::peer::answer(&())
             }
-            Err(res) => res,
+            Err(refusal) => refusal.response(),
         },
         _ => codes::refusal(Code::NotFound, &path),
     }
@@ -88,22 +88,24 @@
 async fn read_message<T: serde::de::DeserializeOwned>(
     node: &Node,
     req: &mut Request,
-) -> Result<T, Response> {
-    http::peer::read(req, |signature, bytes| node.verify(signature, bytes)).await.map_err(|e| {
-        metrics::counter!("peer_messages_refused_total").increment(1);
-        codes::refusal(Code::BadPeer, &e.current_context().to_string())
-    })
+) -> Result<T, Refusal> {
+    http::peer::read(req, |signature, bytes| node.verify(signature, bytes))
+        .await
+        .map_err(|e| {
+            metrics::counter!("peer_messages_refused_total").increment(1);
+            Refusal::new(Code::BadPeer, &e.current_context().to_string())
+        })
 }
 
 /// Serves a request that another entry VM passed on.
 async fn relayed(node: Arc<Node>, path: &str, req: Request) -> Response {
     let req = match peer::unpack(&node, path, req).await {
         Ok(req) => req,
-        Err(res) => return res,
+        Err(refusal) => return refusal.response(),
     };
     let meta = match read(&node, &req) {
         Ok(meta) => meta,
-        Err(res) => return res,
+        Err(refusal) => return refusal.response(),
     };
     if path == peer::WORK_PATH {
         return serve(&node, meta, req).await;
@@ -114,11 +116,8 @@
     let outgoing = Outgoing::take(req).await;
     match meta.class {
         Class::Binding => work::serve_relayed(&node, &meta, &outgoing).await,
-        _ => relay::serve(&node, &meta, &outgoing).await.unwrap_or_else(relay::refuse),
+        _ => relay::serve(&node, &meta, &outgoing)
+            .await
+            .unwrap_or_else(relay::refuse),
     }
 }
-
-/// Answers an operator.
-pub async fn operator(node: Arc<Node>, req: Request) -> Response {
-    operator::serve(&node, &req)
-}
--- a/components/entry/src/look_up.rs
+++ b/components/entry/src/look_up.rs
@@ -77,7 +77,15 @@
         .flatten();
     let entry_vms = order.iter().filter_map(|id| named(&cfg, id)).collect();
     let lifetime_ms = u64::try_from(lifetime.as_millis()).unwrap_or(u64::MAX);
-    server::json(200, &Answer { service: &service, entry_vms, lifetime_ms, ticket })
+    server::json(
+        200,
+        &Answer {
+            service: &service,
+            entry_vms,
+            lifetime_ms,
+            ticket,
+        },
+    )
 }
 
 fn read_query(req: &Request) -> Result<Query, &'static str> {
@@ -108,7 +116,12 @@
     let now = node.now();
     let membership = node.lock_membership();
     let candidates = membership.look_up_candidates(now);
-    let free = node.admission.free_slots().get(service).copied().unwrap_or(0);
+    let free = node
+        .admission
+        .free_slots()
+        .get(service)
+        .copied()
+        .unwrap_or(0);
     cfg.configuration
         .inventory
         .entry_vms
@@ -118,7 +131,11 @@
             let state = if cfg.is_entry_vm_drained(&vm.id) || cfg.is_domain_drained(&vm.domain) {
                 State::Leaving
             } else if own {
-                if node.is_stopping() { State::Leaving } else { State::Ready }
+                if node.is_stopping() {
+                    State::Leaving
+                } else {
+                    State::Ready
+                }
             } else if vm.domain == node.settings.domain {
                 let heard = membership.last_heartbeat(&vm.id).map(|(_, hb)| hb.state);
                 match heard {
@@ -134,21 +151,24 @@
             let free = if own {
                 free
             } else {
-                membership.last_heartbeat(&vm.id).map_or(1, |(_, hb)| hb.free_slots)
+                membership
+                    .last_heartbeat(&vm.id)
+                    .map_or(1, |(_, hb)| hb.free_slots)
             };
             let region = cfg.region(&vm.domain).cloned().unwrap_or_default();
-            EntryVmView { id: vm.id.clone(), domain: vm.domain.clone(), region, state, free }
+            EntryVmView {
+                id: vm.id.clone(),
+                domain: vm.domain.clone(),
+                region,
+                state,
+                free,
+            }
         })
         .collect()
 }
 
 /// Issues a ticket for the first entry VM whose process is known, and names that VM first.
-fn mint(
-    node: &Node,
-    cfg: &InForce,
-    service: &str,
-    order: &mut entry_vm::Order,
-) -> Option<String> {
+fn mint(node: &Node, cfg: &InForce, service: &str, order: &mut entry_vm::Order) -> Option<String> {
     let lifetime = Duration::from_millis(cfg.rules().ticket_lifetime_ms);
     let (index, owner, uptime) = order.iter().enumerate().find_map(|(i, id)| {
         let (owner, uptime) = process_of(node, id)?;
@@ -170,13 +190,19 @@
     }
     let membership = node.lock_membership();
     let (_, hb) = membership.last_heartbeat(id)?;
-    let identity = Identity { vm: id.clone(), incarnation: hb.incarnation };
+    let identity = Identity {
+        vm: id.clone(),
+        incarnation: hb.incarnation,
+    };
     (hb.state == VmState::Ready).then_some((identity, hb.uptime))
 }
 
 fn named(cfg: &InForce, id: &EntryVmId) -> Option<NamedVm> {
     let vm = cfg.entry_vm(id)?;
-    Some(NamedVm { id: vm.id.clone(), address: vm.caller_address })
+    Some(NamedVm {
+        id: vm.id.clone(),
+        address: vm.caller_address,
+    })
 }
 
 /// Returns another entry VM for a caller that this one refuses.
--- a/components/entry/src/node.rs
+++ b/components/entry/src/node.rs
@@ -52,8 +52,10 @@
     pub fn new(settings: Settings) -> Result<Arc<Node>> {
         let keys = KeyRing::new(&settings.keys).change_context(Error::Settings)?;
         let clock = Clock::start();
-        let identity =
-            Identity { vm: settings.id.clone(), incarnation: fastrand::u64(1..u64::MAX) };
+        let identity = Identity {
+            vm: settings.id.clone(),
+            incarnation: fastrand::u64(1..u64::MAX),
+        };
         let membership = new_membership(&identity, [], clock.uptime());
         Ok(Arc::new(Node {
             platform: Client::new(ClientSettings {
@@ -81,7 +83,10 @@
 
     /// Returns the configuration in force.
     pub fn in_force(&self) -> Option<Arc<InForce>> {
-        self.in_force.read().unwrap_or_else(PoisonError::into_inner).clone()
+        self.in_force
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Returns the generation in force; 0 without one.
@@ -97,8 +102,16 @@
         bytes: Arc<[u8]>,
         configuration: Configuration,
     ) -> bool {
-        let next = Arc::new(InForce::new(generation, object.into(), bytes, configuration));
-        let mut current = self.in_force.write().unwrap_or_else(PoisonError::into_inner);
+        let next = Arc::new(InForce::new(
+            generation,
+            object.into(),
+            bytes,
+            configuration,
+        ));
+        let mut current = self
+            .in_force
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
         if current.as_ref().is_some_and(|c| c.generation >= generation) {
             return false;
         }
@@ -124,7 +137,9 @@
             membership.set_state(VmState::Ready);
         } else {
             membership.on_configuration(vms, now);
-            membership.digests.retain(|id| cfg.domains().iter().any(|d| &*d.id == id));
+            membership
+                .digests
+                .retain(|id| cfg.domains().iter().any(|d| &*d.id == id));
         }
     }
 
@@ -139,7 +154,8 @@
         });
         drop(settled);
         let counted = !members.sets.is_empty();
-        self.admission.set_parts(cfg.generation, parts, counted, peers_settled);
+        self.admission
+            .set_parts(cfg.generation, parts, counted, peers_settled);
     }
 
     /// Records the newest generation whose slot split a peer has settled.
@@ -160,7 +176,9 @@
 
     /// Locks the membership.
     pub fn lock_membership(&self) -> MutexGuard<'_, Membership> {
-        self.membership.lock().unwrap_or_else(PoisonError::into_inner)
+        self.membership
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Tells whether the process is stopping.
@@ -189,8 +207,9 @@
 
     /// Checks the keyed hash of a peer message.
     pub fn verify(&self, signature: &Signature, bytes: &[u8]) -> bool {
-        let valid =
-            self.keys.verify(Context::PeerMessage, signature.key, bytes, &signature.mac);
+        let valid = self
+            .keys
+            .verify(Context::PeerMessage, signature.key, bytes, &signature.mac);
         if !valid {
             metrics::counter!("peer_messages_refused_total").increment(1);
         }
@@ -204,7 +223,13 @@
     now: Duration,
 ) -> Membership {
     let settings = MemberSettings::default();
-    Membership::new(settings, identity.vm.clone(), identity.incarnation, configured, now)
+    Membership::new(
+        settings,
+        identity.vm.clone(),
+        identity.incarnation,
+        configured,
+        now,
+    )
 }
 
 /// Time after the start of a shutdown in which accepted work may still be sent.
--- a/components/entry/src/peer.rs
+++ b/components/entry/src/peer.rs
@@ -6,7 +6,7 @@
 
 use config::Class;
 use http::client::{self, ClientOptions};
-use http::codes::{self, CODE_HEADER, Code};
+use http::codes::{self, CODE_HEADER, Code, Refusal};
 use http::peer::Signature;
 use http::{Body, Error, Method, Request, Response};
 
@@ -26,8 +26,14 @@
 /// Time to open a connection to another entry VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Headers that the keyed hash covers, in this order.
-const SIGNED: [&str; 6] =
-    [METHOD_HEADER, PATH_HEADER, SERVICE_HEADER, HOUSE_HEADER, TICKET_HEADER, DEADLINE_HEADER];
+const SIGNED: [&str; 6] = [
+    METHOD_HEADER,
+    PATH_HEADER,
+    SERVICE_HEADER,
+    HOUSE_HEADER,
+    TICKET_HEADER,
+    DEADLINE_HEADER,
+];
 
 /// Passes a binding request to the entry VM that its ticket names.
 pub async fn forward_to_owner(
@@ -36,7 +42,9 @@
     meta: Meta,
     outgoing: Outgoing,
 ) -> Response {
-    let address = node.in_force().and_then(|c| c.entry_vm(owner).map(|v| v.peer_address));
+    let address = node
+        .in_force()
+        .and_then(|c| c.entry_vm(owner).map(|v| v.peer_address));
     let Some(address) = address else {
         return codes::refusal(Code::OwnerGone, "the entry VM is not in the configuration");
     };
@@ -65,7 +73,9 @@
         max_body: node.settings.max_response_body,
         ..ClientOptions::default()
     };
-    Box::pin(client::send(tcp, req, &options)).await.map_err(|e| *e.current_context())
+    Box::pin(client::send(tcp, req, &options))
+        .await
+        .map_err(|e| *e.current_context())
 }
 
 fn build(node: &Node, path: &str, meta: &Meta, outgoing: &Outgoing) -> Result<Request, Error> {
@@ -87,19 +97,22 @@
     Ok(req)
 }
 
-/// Restores the request that another entry VM passed on; `Err` is the refusal.
-pub async fn unpack(node: &Node, path: &str, mut req: Request) -> Result<Request, Response> {
+/// Restores the request that another entry VM passed on; an error is the refusal.
+pub async fn unpack(node: &Node, path: &str, mut req: Request) -> Result<Request, Refusal> {
     let body = req.body_bytes().await.unwrap_or_default();
-    let valid = Signature::read(&req)
-        .is_some_and(|s| node.verify(&s, &signed_bytes(path, &req, &body)));
+    let valid =
+        Signature::read(&req).is_some_and(|s| node.verify(&s, &signed_bytes(path, &req, &body)));
     if !valid {
-        return Err(codes::refusal(Code::BadPeer, "the keyed hash does not match"));
+        return Err(Refusal::new(Code::BadPeer, "the keyed hash does not match"));
     }
     let header = |name: &str| req.header(name).map(|v| v.as_str().to_owned());
     let method = header(METHOD_HEADER).and_then(|m| m.parse::<Method>().ok());
     let target = header(PATH_HEADER).and_then(|p| client::build(Method::Get, &p).ok());
     let (Some(method), Some(target)) = (method, target) else {
-        return Err(codes::refusal(Code::BadRequest, "relayed method or path is invalid"));
+        return Err(Refusal::new(
+            Code::BadRequest,
+            "relayed method or path is invalid",
+        ));
     };
     req.set_method(method);
     *req.url_mut() = target.url().clone();
@@ -139,7 +152,10 @@
         Err(Error::Connect) => Err(Code::NoServer),
         // Work that may run again may be tried elsewhere.
         Err(_) if meta.class != Class::Binding => Err(Code::ConnectionLost),
-        Err(_) => Ok(codes::refusal(Code::ConnectionLost, "the other failure domain is cut off")),
+        Err(_) => Ok(codes::refusal(
+            Code::ConnectionLost,
+            "the other failure domain is cut off",
+        )),
     }
 }
 
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -3,7 +3,6 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use futures_lite::{AsyncBufRead, AsyncRead, FutureExt, io};
 use http::codes::{self, Code};
@@ -37,13 +36,17 @@
         let slot = node.admission.acquire(meta, avoid.clone()).await?;
         let Tried { attempt, mut slot } = try_hedged(node, meta, outgoing, slot, &mut avoid).await;
         let (reason, code) = match attempt {
-            Attempt::Answer(res) => return Ok(pass_on(res, slot)),
+            Attempt::Answer(res) => return Ok(pass_on(*res, slot)),
             Attempt::NotRun(NotRun::Connect) => (Reason::Connect, Code::NoServer),
             Attempt::NotRun(NotRun::Shed) => (Reason::Shed, Code::ServersShed),
             Attempt::Unknown(code @ Code::AnswerTimeout) => (Reason::Timeout, code),
             Attempt::Unknown(code) => (Reason::Closed, code),
         };
-        slot.end(if reason == Reason::Shed { Outcome::Shed } else { Outcome::Failed });
+        slot.end(if reason == Reason::Shed {
+            Outcome::Shed
+        } else {
+            Outcome::Failed
+        });
         let server = slot.server().clone();
         drop(slot);
         if !avoid.contains(&server) {
@@ -53,12 +56,8 @@
         if retries >= MAX_ATTEMPTS || !node.admission.may_retry(&meta.service, reason) {
             return Err(code);
         }
-        let delay = Backoff::default().delay(
-            retries,
-            &mut fastrand::Rng::new(),
-            node.now(),
-            meta.deadline,
-        );
+        let mut rng = fastrand::Rng::new();
+        let delay = Backoff::default().delay(retries - 1, node.now(), meta.deadline, &mut rng);
         let Some(delay) = delay else { return Err(code) };
         runtime::sleep(delay).await;
     }
@@ -98,11 +97,16 @@
 async fn try_one(node: &Arc<Node>, meta: &Meta, outgoing: &Outgoing, mut slot: Slot) -> Tried {
     let remaining = meta.deadline.saturating_sub(node.now());
     let Some(tcp) = exchange::connect(slot.address, remaining).await else {
-        return Tried { attempt: Attempt::NotRun(NotRun::Connect), slot };
+        return Tried {
+            attempt: Attempt::NotRun(NotRun::Connect),
+            slot,
+        };
     };
     let remaining = meta.deadline.saturating_sub(node.now());
-    let limits =
-        AnswerLimits { max_body: node.settings.max_response_body, buffered: BUFFERED_ANSWER };
+    let limits = AnswerLimits {
+        max_body: node.settings.max_response_body,
+        buffered: BUFFERED_ANSWER,
+    };
     let attempt = exchange::send_on(tcp, outgoing.build(remaining), remaining, limits).await;
     if matches!(attempt, Attempt::Answer(_)) {
         slot.end(Outcome::Answered);
@@ -153,8 +157,3 @@
 pub fn refuse(code: Code) -> Response {
     codes::refusal(code, "")
 }
-
-/// Time that is left until a deadline.
-pub fn remaining(node: &Node, meta: &Meta) -> Duration {
-    meta.deadline.saturating_sub(node.now())
-}
--- a/components/entry/src/request.rs
+++ b/components/entry/src/request.rs
@@ -71,10 +71,15 @@
 }
 
 fn read_deadline(req: &Request, default: Duration) -> Result<Duration, (Code, &'static str)> {
-    let Some(text) = single(req, DEADLINE_HEADER)? else { return Ok(default) };
-    let ms = text
-        .parse::<u64>()
-        .map_err(|_| (Code::BadRequest, "x-deadline-ms must be a whole number of milliseconds"))?;
+    let Some(text) = single(req, DEADLINE_HEADER)? else {
+        return Ok(default);
+    };
+    let ms = text.parse::<u64>().map_err(|_| {
+        (
+            Code::BadRequest,
+            "x-deadline-ms must be a whole number of milliseconds",
+        )
+    })?;
     Ok(Duration::from_millis(ms).min(MAX_DEADLINE))
 }
 
@@ -89,14 +94,19 @@
 
 /// Returns a header that may be given once at most.
 fn single<'a>(req: &'a Request, name: &str) -> Result<Option<&'a str>, (Code, &'static str)> {
-    let Some(values) = req.header(name) else { return Ok(None) };
+    let Some(values) = req.header(name) else {
+        return Ok(None);
+    };
     let mut values = values.iter();
     let value = values.next().map_or("", |v| v.as_str());
     if values.next().is_some() {
         return Err((Code::BadRequest, "a header of this system is given twice"));
     }
     if value.is_empty() || (value.len() > MAX_NAME && name != TICKET_HEADER) {
-        return Err((Code::BadRequest, "a header of this system is empty or too long"));
+        return Err((
+            Code::BadRequest,
+            "a header of this system is empty or too long",
+        ));
     }
     Ok(Some(value))
 }
--- a/components/entry/src/split.rs
+++ b/components/entry/src/split.rs
@@ -24,8 +24,7 @@
     let vms: Vec<EntryVmId> = cfg.entry_vms_of(domain).map(|v| v.id.clone()).collect();
     let mut parts: Option<Parts> = None;
     for set in &members.sets {
-        let gone: BTreeSet<EntryVmId> =
-            vms.iter().filter(|v| !set.contains(v)).cloned().collect();
+        let gone: BTreeSet<EntryVmId> = vms.iter().filter(|v| !set.contains(v)).cloned().collect();
         let given = split(&servers, &vms, &gone).remove(vm).unwrap_or_default();
         parts = Some(match parts {
             None => given,
--- a/components/entry/src/steer.rs
+++ b/components/entry/src/steer.rs
@@ -43,12 +43,18 @@
 
 /// Returns an entry VM of each other domain with free slots, nearest first.
 pub fn other_domains(node: &Node, meta: &Meta) -> Vec<SocketAddr> {
-    let Some(cfg) = node.in_force() else { return Vec::new() };
+    let Some(cfg) = node.in_force() else {
+        return Vec::new();
+    };
     let now = node.now();
     let own_region = cfg.region(&node.settings.domain).cloned();
     let mut ranked: Vec<(bool, u32, SocketAddr)> = Vec::new();
     let membership = node.lock_membership();
-    for domain in cfg.domains().iter().filter(|d| d.id != node.settings.domain) {
+    for domain in cfg
+        .domains()
+        .iter()
+        .filter(|d| d.id != node.settings.domain)
+    {
         if cfg.is_domain_drained(&domain.id) {
             continue;
         }
@@ -64,5 +70,9 @@
         }
     }
     ranked.sort_unstable();
-    ranked.into_iter().map(|(_, _, address)| address).take(MAX_DOMAINS).collect()
+    ranked
+        .into_iter()
+        .map(|(_, _, address)| address)
+        .take(MAX_DOMAINS)
+        .collect()
 }
--- a/components/entry/src/work.rs
+++ b/components/entry/src/work.rs
@@ -9,7 +9,7 @@
     Begin, Ending, Permit, RecordLimits, Records, SendRefusal, Ticket, Verdict, Work, WorkId,
     request_digest,
 };
-use http::codes::{self, Code};
+use http::codes::{self, Code, Refusal};
 use http::{Body, Response, StatusCode};
 use limits::budget::Reason;
 use routing::server::Outcome;
@@ -17,8 +17,8 @@
 use crate::admission::{Avoid, Slot};
 use crate::exchange::{self, AnswerLimits, Attempt, NotRun};
 use crate::node::Node;
-use crate::{peer, steer};
 use crate::request::{Meta, Outgoing, WorkIdentity};
+use crate::{peer, steer};
 
 /// Longest answer to binding work in bytes.
 const MAX_ANSWER: u64 = 4 << 20;
@@ -45,6 +45,14 @@
     Code(Code),
 }
 
+/// Why a request starts or joins no execution.
+enum NotStarted {
+    /// An earlier attempt was answered.
+    Answered(Arc<Stored>),
+    /// Refused.
+    Refused(Refusal),
+}
+
 /// An execution in progress.
 #[derive(Debug)]
 struct Execution {
@@ -77,18 +85,14 @@
     match meta.identity.clone() {
         None => codes::refusal(Code::NoTicketOrKey, "look up the service to get a ticket"),
         Some(WorkIdentity::Ticket(text)) => serve_ticket(node, meta, outgoing, &text).await,
-        Some(WorkIdentity::Key(_)) => {
-            codes::refusal(Code::PlatformUnreachable, "keys cannot be claimed by this entry VM")
-        }
+        Some(WorkIdentity::Key(_)) => codes::refusal(
+            Code::PlatformUnreachable,
+            "keys cannot be claimed by this entry VM",
+        ),
     }
 }
 
-async fn serve_ticket(
-    node: &Arc<Node>,
-    meta: Meta,
-    outgoing: Outgoing,
-    text: &str,
-) -> Response {
+async fn serve_ticket(node: &Arc<Node>, meta: Meta, outgoing: Outgoing, text: &str) -> Response {
     let Ok(ticket) = Ticket::decode(text) else {
         return codes::refusal(Code::TicketForged, "the ticket cannot be decoded");
     };
@@ -104,12 +108,11 @@
             };
             execute(node, work, meta, outgoing).await
         }
-        Verdict::OtherOwner(owner, _) => {
-            peer::forward_to_owner(node, &owner, meta, outgoing).await
-        }
-        Verdict::OtherIncarnation => {
-            codes::refusal(Code::OwnerGone, "the entry VM has restarted since the look-up")
-        }
+        Verdict::OtherOwner(owner, _) => peer::forward_to_owner(node, &owner, meta, outgoing).await,
+        Verdict::OtherIncarnation => codes::refusal(
+            Code::OwnerGone,
+            "the entry VM has restarted since the look-up",
+        ),
         Verdict::Forged => codes::refusal(Code::TicketForged, "the keyed hash does not match"),
         Verdict::WrongService => {
             codes::refusal(Code::TicketForged, "the ticket is for another service")
@@ -118,23 +121,25 @@
 }
 
 fn digest(outgoing: &Outgoing) -> binding::RequestDigest {
-    request_digest(outgoing.method().as_ref(), &outgoing.path(), outgoing.body())
+    request_digest(
+        outgoing.method().as_ref(),
+        &outgoing.path(),
+        outgoing.body(),
+    )
 }
 
 /// Executes work once, or joins the execution in progress.
-pub async fn execute(
-    node: &Arc<Node>,
-    work: Work,
-    meta: Meta,
-    outgoing: Outgoing,
-) -> Response {
+pub async fn execute(node: &Arc<Node>, work: Work, meta: Meta, outgoing: Outgoing) -> Response {
     let execution = match begin(node, &work, meta, outgoing) {
         Ok(execution) => execution,
-        Err(res) => return res,
+        Err(NotStarted::Answered(stored)) => return stored.response(),
+        Err(NotStarted::Refused(refusal)) => return refusal.response(),
     };
     let remaining = work.deadline.saturating_sub(node.now());
     // The channel closes at the end; nothing is ever sent on it.
-    let ended = runtime::timeout(remaining, execution.done.recv()).await.is_some();
+    let ended = runtime::timeout(remaining, execution.done.recv())
+        .await
+        .is_some();
     match execution.end.get() {
         Some(End::Answer(stored)) => stored.response(),
         Some(End::Code(code)) => codes::refusal(*code, ""),
@@ -148,13 +153,16 @@
     work: &Work,
     meta: Meta,
     outgoing: Outgoing,
-) -> Result<Arc<Execution>, Response> {
+) -> Result<Arc<Execution>, NotStarted> {
     let now = node.now();
     let mut state = node.lock_work();
     let (code, detail) = match state.records.begin(work, now) {
         Begin::Run(permit) => {
             let (tx, rx) = async_channel::bounded(1);
-            let execution = Arc::new(Execution { done: rx, end: OnceLock::new() });
+            let execution = Arc::new(Execution {
+                done: rx,
+                end: OnceLock::new(),
+            });
             state.executions.insert(work.id, execution.clone());
             // The execution goes on when the caller leaves, so that a retry gets the answer.
             let task = run(node.clone(), permit, meta, outgoing, execution.clone(), tx);
@@ -167,16 +175,22 @@
         },
         Begin::Answered(stored) => {
             metrics::counter!("binding_answers_replayed_total").increment(1);
-            return Err(stored.response());
+            return Err(NotStarted::Answered(stored));
         }
         Begin::Unknown => (Code::OutcomeUnknown, "retries cannot settle it"),
         Begin::NotRun => (Code::DeadlinePassed, "the ticket can no longer be executed"),
         Begin::DigestMismatch => (Code::TicketReused, "look up another ticket"),
-        Begin::Full => (Code::RecordsFull, "try another entry VM with another ticket"),
+        Begin::Full => (
+            Code::RecordsFull,
+            "try another entry VM with another ticket",
+        ),
         Begin::Stopping => (Code::Stopping, "try another entry VM with another ticket"),
-        Begin::Expired => (Code::TicketExpired, "the ticket expired before this request"),
+        Begin::Expired => (
+            Code::TicketExpired,
+            "the ticket expired before this request",
+        ),
     };
-    Err(codes::refusal(code, detail))
+    Err(NotStarted::Refused(Refusal::new(code, detail)))
 }
 
 /// Runs one attempt to its end, whatever the caller does meanwhile.
@@ -237,7 +251,10 @@
 fn check_send(node: &Node, permit: &Permit, event: SendEvent) -> Result<(), Code> {
     let mut state = node.lock_work();
     match event {
-        SendEvent::About => state.records.about_to_send(permit, node.now()).map_err(code_of),
+        SendEvent::About => state
+            .records
+            .about_to_send(permit, node.now())
+            .map_err(code_of),
         SendEvent::NotExecuted => {
             state.records.surely_not_executed(permit);
             Ok(())
@@ -281,8 +298,14 @@
 /// Reads the answer of another failure domain; its own refusals here mean an unknown outcome.
 async fn from_elsewhere(node: &Node, meta: &Meta, res: Response) -> Result<Stored, Code> {
     let is_refusal = res.header(codes::CODE_HEADER).is_some();
-    let stored = Stored::take(res, meta.deadline, node).await.ok_or(Code::AnswerCut)?;
-    if is_refusal { Err(Code::ConnectionLost) } else { Ok(stored) }
+    let stored = Stored::take(res, meta.deadline, node)
+        .await
+        .ok_or(Code::AnswerCut)?;
+    if is_refusal {
+        Err(Code::ConnectionLost)
+    } else {
+        Ok(stored)
+    }
 }
 
 /// Sends the request to servers until one may have seen it.
@@ -330,18 +353,20 @@
     // The process may have been paused since the slot was taken: check again before the send.
     check(node, SendEvent::About)?;
     let remaining = meta.deadline.saturating_sub(node.now());
-    let limits = AnswerLimits { max_body: MAX_ANSWER, buffered: MAX_ANSWER };
+    let limits = AnswerLimits {
+        max_body: MAX_ANSWER,
+        buffered: MAX_ANSWER,
+    };
     match exchange::send_on(tcp, outgoing.build(remaining), remaining, limits).await {
-        Attempt::Answer(res) => match Stored::take(res, meta.deadline, node).await {
-            Some(stored) => {
-                slot.end(Outcome::Answered);
-                Ok(Ok(stored))
-            }
-            None => {
-                slot.end(Outcome::Failed);
-                Err(Code::AnswerCut)
-            }
-        },
+        Attempt::Answer(res) => {
+            let stored = Stored::take(*res, meta.deadline, node).await;
+            slot.end(if stored.is_some() {
+                Outcome::Answered
+            } else {
+                Outcome::Failed
+            });
+            stored.map(Ok).ok_or(Code::AnswerCut)
+        }
         Attempt::NotRun(not_run) => {
             slot.end(Outcome::Shed);
             Ok(Err(not_run))
@@ -370,10 +395,16 @@
             .iter()
             .filter(|(name, _)| !matches!(name.as_str(), "content-length" | "transfer-encoding"))
             .flat_map(|(name, values)| {
-                values.iter().map(|v| (name.as_str().into(), v.as_str().into()))
+                values
+                    .iter()
+                    .map(|v| (name.as_str().into(), v.as_str().into()))
             })
             .collect();
-        Some(Stored { status: res.status().into(), headers, body })
+        Some(Stored {
+            status: res.status().into(),
+            headers,
+            body,
+        })
     }
 
     /// Builds the response for a caller.
--- a/components/http/src/codes.rs
+++ b/components/http/src/codes.rs
@@ -101,9 +101,33 @@
     }
 }
 
+/// Why the system itself answers a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Result code.
+    pub code: Code,
+    /// Details of this case.
+    pub detail: Box<str>,
+}
+
+impl Refusal {
+    /// Builds a refusal.
+    pub fn new(code: Code, detail: &str) -> Self {
+        Refusal {
+            code,
+            detail: detail.into(),
+        }
+    }
+
+    /// Builds its response and counts it.
+    pub fn response(&self) -> Response {
+        refusal(self.code, &self.detail)
+    }
+}
+
 /// JSON body of a refusal.
 #[derive(Serialize)]
-struct Refusal<'a> {
+struct RefusalBody<'a> {
     /// Result code.
     code: u16,
     /// `not-run` or `unknown`.
@@ -120,7 +144,7 @@
     let outcome = code.outcome().as_str();
     let mut res = json(
         code.status(),
-        &Refusal {
+        &RefusalBody {
             code: code.number(),
             outcome,
             message: code.text(),
--- a/components/http/src/head.rs
+++ b/components/http/src/head.rs
@@ -86,7 +86,7 @@
     Ok(Head {
         bytes: rewrite(&start, req.headers, &fields),
         framing,
-        close: fields.close,
+        close: fields.closes(),
         expects_continue: fields.expects_continue,
         status: 0,
         has_date: fields.has_date,
@@ -117,7 +117,7 @@
     Ok(Head {
         bytes: rewrite(&start, res.headers, &fields),
         framing,
-        close: fields.close,
+        close: fields.closes(),
         expects_continue: false,
         status,
         has_date: fields.has_date,
@@ -148,8 +148,6 @@
     length: Option<u64>,
     /// Whether Transfer-Encoding is `chunked`.
     chunked: bool,
-    /// Whether Connection contains `close`.
-    close: bool,
     /// Whether Expect is `100-continue`.
     expects_continue: bool,
     /// Whether there is a Date header.
@@ -193,7 +191,6 @@
             }
             "connection" => {
                 for item in value.split(',').map(|s| s.trim().to_ascii_lowercase()) {
-                    self.close |= item == "close";
                     self.listed.push(item);
                 }
             }
@@ -217,6 +214,11 @@
         }
     }
 
+    /// Tells whether the peer closes the connection after this message.
+    fn closes(&self) -> bool {
+        self.listed.iter().any(|item| item == "close")
+    }
+
     /// Tells whether a header is dropped when the head is rewritten.
     fn drops(&self, name: &str) -> bool {
         let framing = matches!(name, "host" | "content-length" | "transfer-encoding");
--- a/components/http/src/peer.rs
+++ b/components/http/src/peer.rs
@@ -97,7 +97,10 @@
     pub fn read(req: &Request) -> Option<Signature> {
         let key = req.header(KEY_HEADER)?.as_str().parse().ok()?;
         let mac = blake3::Hash::from_hex(req.header(MAC_HEADER)?.as_str()).ok()?;
-        Some(Signature { key, mac: *mac.as_bytes() })
+        Some(Signature {
+            key,
+            mac: *mac.as_bytes(),
+        })
     }
 
     /// Removes the signature from the headers.
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -50,8 +50,14 @@
 pub fn run(args: &ArgMatches) -> ExitCode {
     let requests = args.get_one::<u32>("requests").copied().unwrap_or(100);
     let seed = args.get_one::<u64>("seed").copied().unwrap_or(1);
-    let inventory = Source { name: "examples/notensatz/inventory.json", text: INVENTORY };
-    let rules = Source { name: "examples/notensatz/rules.json", text: RULES };
+    let inventory = Source {
+        name: "examples/notensatz/inventory.json",
+        text: INVENTORY,
+    };
+    let rules = Source {
+        name: "examples/notensatz/rules.json",
+        text: RULES,
+    };
     let (configuration, faults) = config::read_configuration(inventory, rules);
     let Some(configuration) = configuration else {
         for fault in faults {
@@ -96,13 +102,13 @@
     }
 }
 
-async fn demo(
-    configuration: Configuration,
-    requests: u32,
-    seed: u64,
-) -> deployment::Result<bool> {
+async fn demo(configuration: Configuration, requests: u32, seed: u64) -> deployment::Result<bool> {
     let started = Instant::now();
-    let options = Options { configuration, seed, ..Options::default() };
+    let options = Options {
+        configuration,
+        seed,
+        ..Options::default()
+    };
     let mut deployment = Deployment::start(options).await?;
     println!(
         "event=started entry_vms={} servers={} ready_ms={}",
@@ -112,8 +118,15 @@
     );
     let mut is_kept = true;
     let services = deployment.configuration.inventory.services.clone();
-    let known = deployment.running().iter().map(|v| v.caller_address).collect();
-    let caller = Caller { known, deadline: DEADLINE };
+    let known = deployment
+        .running()
+        .iter()
+        .map(|v| v.caller_address)
+        .collect();
+    let caller = Caller {
+        known,
+        deadline: DEADLINE,
+    };
     let mut tasks = Vec::new();
     for service in &services {
         for i in 0..requests {
@@ -143,7 +156,11 @@
     }
     is_kept &= check_executions(&deployment, &answers);
     is_kept &= deployment.stop().await;
-    println!("demo={} elapsed_ms={}", if is_kept { "ok" } else { "failed" }, started.elapsed().as_millis());
+    println!(
+        "demo={} elapsed_ms={}",
+        if is_kept { "ok" } else { "failed" },
+        started.elapsed().as_millis()
+    );
     Ok(is_kept)
 }
 
@@ -153,7 +170,11 @@
         house: format!("house-{}", i % 5).into(),
         id: format!("{service}-{i}").into(),
         binding: class == Class::Binding,
-        answer_bytes: if class == Class::Deferrable { 200_000 } else { 2_000 },
+        answer_bytes: if class == Class::Deferrable {
+            200_000
+        } else {
+            2_000
+        },
     }
 }
 
@@ -165,11 +186,17 @@
     next.rules.drains.servers.push(server.clone());
     let generation = deployment.apply(1, &next).await?;
     let taken = deployment.wait_generation(generation).await?;
-    println!("event=drained server={server} generation={generation} in_force_ms={}", taken.as_millis());
+    println!(
+        "event=drained server={server} generation={generation} in_force_ms={}",
+        taken.as_millis()
+    );
     let vm = deployment.running()[1].id.clone();
     let begun = Instant::now();
     let graceful = deployment.stop_entry_vm(&vm).await;
-    println!("event=vm_stopped vm={vm} graceful={graceful} stop_ms={}", begun.elapsed().as_millis());
+    println!(
+        "event=vm_stopped vm={vm} graceful={graceful} stop_ms={}",
+        begun.elapsed().as_millis()
+    );
     Ok(graceful)
 }
 
@@ -183,11 +210,17 @@
             *runs.entry(work).or_default() += n;
         }
         let servers = &deployment.configuration.inventory.servers;
-        let slots = servers.iter().find(|s| s.id == *id).map_or(0, |s| s.slots as usize);
+        let slots = servers
+            .iter()
+            .find(|s| s.id == *id)
+            .map_or(0, |s| s.slots as usize);
         peak_over += usize::from(seen.peak_in_service > slots);
     }
     let binding: Vec<_> = answers.iter().filter(|(w, _)| w.binding).collect();
-    let twice = binding.iter().filter(|(w, _)| runs.get(&w.id).copied().unwrap_or(0) > 1).count();
+    let twice = binding
+        .iter()
+        .filter(|(w, _)| runs.get(&w.id).copied().unwrap_or(0) > 1)
+        .count();
     let untrue = binding
         .iter()
         .filter(|(w, a)| matches!(a, Answer::NotRun(_)) && runs.contains_key(&w.id))
