--- a/components/deployment/src/caller.rs
+++ b/components/deployment/src/caller.rs
@@ -30,6 +30,23 @@
     pub answer_bytes: usize,
 }
 
+/// What makes a retry of binding work known as one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Credential<'a> {
+    /// Nothing; for work that may run again.
+    None,
+    /// Ticket from a look-up.
+    Ticket(&'a str),
+    /// Key of the caller's own.
+    Key(&'a str),
+}
+
+impl<'a> From<Option<&'a str>> for Credential<'a> {
+    fn from(ticket: Option<&'a str>) -> Self {
+        ticket.map_or(Credential::None, Credential::Ticket)
+    }
+}
+
 /// What came of a piece of work.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
@@ -105,7 +122,10 @@
             let Some(vm) = found.entry_vms.get(attempt % found.entry_vms.len().max(1)) else {
                 return last;
             };
-            match self.send(vm.address, work, found.ticket.as_deref()).await {
+            match self
+                .send(vm.address, work, found.ticket.as_deref().into())
+                .await
+            {
                 Ok(answer @ (Answer::Whole | Answer::Wrong)) => return answer,
                 Ok(answer @ Answer::Unknown(_)) if work.binding => return answer,
                 Ok(answer) => last = answer,
@@ -128,7 +148,7 @@
         &self,
         address: SocketAddr,
         work: &Work,
-        ticket: Option<&str>,
+        credential: Credential<'_>,
     ) -> std::result::Result<Answer, HttpError> {
         let path = format!("/work/{}", work.id);
         let method = if work.binding {
@@ -146,8 +166,12 @@
         req.insert_header("x-request-id", &*work.id);
         req.insert_header("x-execution-id", &*work.id);
         req.insert_header("x-answer-bytes", work.answer_bytes.to_string());
-        if let Some(ticket) = ticket {
-            req.insert_header(entry::TICKET_HEADER, ticket);
+        match credential {
+            Credential::None => {}
+            Credential::Ticket(ticket) => drop(req.insert_header(entry::TICKET_HEADER, ticket)),
+            Credential::Key(key) => drop(req.insert_header(entry::KEY_HEADER, key)),
+        }
+        if credential != Credential::None {
             req.set_body(Body::from_bytes(work.id.as_bytes().to_vec()));
         }
         let options = ClientOptions {
--- a/components/deployment/src/error.rs
+++ b/components/deployment/src/error.rs
@@ -15,6 +15,8 @@
     LookUp,
     /// A request could not be sent or its answer not be read.
     Exchange,
+    /// A child process could not be started, ended or signalled.
+    Process,
 }
 
 impl fmt::Display for Error {
@@ -25,6 +27,7 @@
             Error::NotReady => "the entry VMs did not become ready in time",
             Error::LookUp => "the look-up failed",
             Error::Exchange => "the exchange failed",
+            Error::Process => "a child process of an entry VM failed",
         })
     }
 }
--- a/components/deployment/src/running.rs
+++ b/components/deployment/src/running.rs
@@ -6,20 +6,20 @@
 
 use async_channel::Sender;
 use async_executor::Task;
-use async_net::TcpListener;
 use config::{
-    Class, Configuration, EntryVm, EntryVmId, Generation, KeySettings, ServerId, Settings,
+    Configuration, DomainId, EntryVm, EntryVmId, Generation, KeySettings, ServerId, Settings,
 };
 use error_stack::{Report, ResultExt};
-use http::Method;
-use http::client::{self, ClientOptions};
 use platform::{Client, ClientSettings};
-use serde::Deserialize;
-use standins::platform::{Platform, PlatformSettings, VmState, serve_platform};
-use standins::server::{Server, ServerSettings, serve_server};
+use standins::platform::{Platform, PlatformSettings, VmState};
+use standins::server::Server;
 
 use crate::addresses;
+use crate::cuts::Cuts;
 use crate::error::{Error, Result};
+use crate::machines::{listen_platform, start_servers};
+use crate::process::{Place, Process};
+use crate::status::{self, Status};
 
 /// Longest time until all entry VMs serve.
 const READY_LIMIT: Duration = Duration::from_secs(30);
@@ -35,8 +35,12 @@
     pub service_time: Duration,
     /// Factor on the service time of deferrable services.
     pub deferrable_factor: u32,
+    /// Requests that wait for a slot at a server; further ones are shed.
+    pub server_queue: usize,
     /// Lag of the VM list.
     pub vm_list_lag: Duration,
+    /// Where the entry VMs run.
+    pub place: Place,
     /// Seed of the stand-ins.
     pub seed: u64,
 }
@@ -47,18 +51,33 @@
             configuration: Configuration::default(),
             service_time: Duration::from_millis(5),
             deferrable_factor: 10,
+            server_queue: 3,
             vm_list_lag: Duration::from_millis(200),
+            place: Place::Inside,
             seed: 1,
         }
     }
 }
 
 /// One entry VM of the deployment.
-struct RunningVm {
-    /// Ends the VM when dropped.
-    stop: Sender<()>,
-    /// Its task.
-    task: Task<entry::Result<()>>,
+enum RunningVm {
+    /// A task of this process.
+    Inside {
+        /// Ends the VM when dropped.
+        stop: Sender<()>,
+        /// Its task.
+        task: Task<entry::Result<()>>,
+    },
+    /// A child process.
+    Child(Process),
+}
+
+/// The platform as one failure domain reaches it.
+struct PlatformLink {
+    /// Address.
+    address: SocketAddr,
+    /// Ends the listener when dropped; `None` while the domain is cut off.
+    listening: Option<Sender<()>>,
 }
 
 /// A running deployment.
@@ -67,69 +86,90 @@
     pub configuration: Configuration,
     /// Platform stand-in.
     pub platform: Platform,
-    /// Address of the platform.
+    /// Address of the platform for operators.
     pub platform_address: SocketAddr,
     /// Backend servers.
     pub servers: BTreeMap<ServerId, Server>,
+    /// Links between the machines, for entry VMs inside this process.
+    pub cuts: Cuts,
+    /// Where the entry VMs run.
+    place: Place,
+    /// Listener of the platform per failure domain.
+    platform_links: BTreeMap<DomainId, PlatformLink>,
     /// Entry VMs.
     vms: BTreeMap<EntryVmId, RunningVm>,
     /// End the stand-ins when dropped.
     stops: Vec<Sender<()>>,
 }
 
-/// The part of an entry VM's status that tells whether it serves.
-#[derive(Debug, Deserialize)]
-struct Status {
-    /// Generation in force.
-    generation: Generation,
-    /// Free slots per service.
-    free_slots: BTreeMap<Box<str>, u32>,
-}
-
 impl Deployment {
     /// Starts platform, servers and entry VMs, applies the configuration and waits until every
     /// entry VM serves.
     pub async fn start(options: Options) -> Result<Deployment> {
+        let mut deployment = Deployment::start_machines(options).await?;
+        for vm in deployment.configuration.inventory.entry_vms.clone() {
+            deployment.start_entry_vm(&vm)?;
+        }
+        deployment.wait_ready().await?;
+        Ok(deployment)
+    }
+
+    /// Starts platform and servers and applies the configuration, without entry VMs.
+    pub async fn start_machines(options: Options) -> Result<Deployment> {
         let mut configuration = options.configuration.clone();
         addresses::assign(&mut configuration)?;
-        let mut stops = Vec::new();
         let platform = Platform::new(PlatformSettings {
             vm_list_lag: options.vm_list_lag,
             ..PlatformSettings::default()
         });
-        let listener = TcpListener::bind("127.0.0.1:0")
-            .await
-            .change_context(Error::Listen)?;
-        let platform_address = listener.local_addr().change_context(Error::Listen)?;
-        let (tx, rx) = async_channel::bounded(1);
-        runtime::spawn(serve_platform(listener, platform.clone(), rx)).detach();
+        let mut stops = Vec::new();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let (platform_address, tx) = listen_platform(&platform, any).await?;
         stops.push(tx);
+        let mut platform_links = BTreeMap::new();
+        for domain in &configuration.inventory.domains {
+            let (address, tx) = listen_platform(&platform, addresses::free()?).await?;
+            let link = PlatformLink {
+                address,
+                listening: Some(tx),
+            };
+            platform_links.insert(domain.id.clone(), link);
+        }
         let servers = start_servers(&configuration, &options, &mut stops).await?;
-        let mut deployment = Deployment {
+        let cuts = Cuts::default();
+        cuts.learn(&configuration);
+        let deployment = Deployment {
             configuration,
             platform,
             platform_address,
             servers,
+            cuts,
+            place: options.place,
+            platform_links,
             vms: BTreeMap::new(),
             stops,
         };
-        deployment
-            .apply(0, &deployment.configuration.clone())
-            .await?;
-        for vm in deployment.configuration.inventory.entry_vms.clone() {
-            deployment.start_entry_vm(&vm);
-        }
-        deployment.wait_ready().await?;
+        deployment.apply(0, &deployment.configuration).await?;
         Ok(deployment)
     }
 
     /// Starts an entry VM.
-    pub fn start_entry_vm(&mut self, vm: &EntryVm) {
+    pub fn start_entry_vm(&mut self, vm: &EntryVm) -> Result<()> {
         let settings = self.settings_of(vm);
-        let (stop, rx) = async_channel::bounded(1);
-        let task = runtime::spawn(entry::run(settings, rx));
+        let running = match &self.place {
+            Place::Inside => {
+                let (stop, rx) = async_channel::bounded(1);
+                let reachable = self.cuts.reachable(&vm.id);
+                let task = runtime::spawn(entry::run_with(settings, rx, reachable));
+                RunningVm::Inside { stop, task }
+            }
+            Place::Children { program, directory } => {
+                RunningVm::Child(Process::start(program, directory, &settings)?)
+            }
+        };
         self.platform.put_vm(&vm.id, VmState::Live);
-        self.vms.insert(vm.id.clone(), RunningVm { stop, task });
+        self.vms.insert(vm.id.clone(), running);
+        Ok(())
     }
 
     /// Returns the settings of an entry VM.
@@ -140,13 +180,14 @@
             .entry_vms
             .iter()
             .filter(|v| v.id != vm.id);
+        let link = self.platform_links.get(&vm.domain);
         Settings {
             id: vm.id.clone(),
             domain: vm.domain.clone(),
             caller_address: vm.caller_address,
             peer_address: vm.peer_address,
             operator_address: vm.operator_address,
-            platform: vec![self.platform_address],
+            platform: vec![link.map_or(self.platform_address, |l| l.address)],
             seeds: others.map(|v| v.peer_address).take(3).collect(),
             keys: vec![KeySettings {
                 id: 1,
@@ -173,46 +214,120 @@
         })
     }
 
+    /// Cuts a failure domain off from the platform; open connections close.
+    pub fn cut_platform(&mut self, domain: &str) {
+        if let Some(link) = self.platform_links.get_mut(domain) {
+            link.listening = None;
+        }
+    }
+
+    /// Lets a failure domain reach the platform again.
+    pub async fn restore_platform(&mut self, domain: &str) -> Result<()> {
+        let platform = self.platform.clone();
+        if let Some(link) = self.platform_links.get_mut(domain)
+            && link.listening.is_none()
+        {
+            let (_, tx) = listen_platform(&platform, link.address).await?;
+            link.listening = Some(tx);
+        }
+        Ok(())
+    }
+
     /// Stops an entry VM gracefully; returns when it has ended.
+    ///
+    /// A child process has to be told by a signal first.
     pub async fn stop_entry_vm(&mut self, id: &str) -> bool {
         let Some(vm) = self.vms.remove(id) else {
             return false;
         };
         self.platform.put_vm(id, VmState::Leaving);
-        drop(vm.stop);
-        let ended = vm.task.await.is_ok();
+        let ended = match vm {
+            RunningVm::Inside { stop, task } => {
+                drop(stop);
+                task.await.is_ok()
+            }
+            RunningVm::Child(mut process) => {
+                let status = process.wait(READY_LIMIT).await;
+                status.is_ok_and(|s| s.success())
+            }
+        };
         self.platform.remove_vm(id);
         ended
     }
 
+    /// Kills the child process of an entry VM; the VM list shows it after its lag.
+    pub fn kill_entry_vm(&mut self, id: &str) -> Result<()> {
+        if let Some(RunningVm::Child(mut process)) = self.vms.remove(id) {
+            process.kill()?;
+            self.platform.remove_vm(id);
+        }
+        Ok(())
+    }
+
+    /// Returns the process id of an entry VM that runs as a child.
+    pub fn process_id(&self, id: &str) -> Option<u32> {
+        match self.vms.get(id)? {
+            RunningVm::Child(process) => Some(process.id()),
+            RunningVm::Inside { .. } => None,
+        }
+    }
+
     /// Returns the entry VMs that run.
     pub fn running(&self) -> Vec<&EntryVm> {
         let vms = self.configuration.inventory.entry_vms.iter();
         vms.filter(|v| self.vms.contains_key(&v.id)).collect()
     }
 
+    /// Returns an entry VM of the configuration.
+    pub fn entry_vm(&self, id: &str) -> Option<&EntryVm> {
+        let mut vms = self.configuration.inventory.entry_vms.iter();
+        vms.find(|v| &*v.id == id)
+    }
+
+    /// Counts how often each execution id was started by all servers together.
+    pub fn runs(&self) -> BTreeMap<Box<str>, u64> {
+        let mut runs: BTreeMap<Box<str>, u64> = BTreeMap::new();
+        for server in self.servers.values() {
+            for (id, n) in server.executions().executions {
+                *runs.entry(id).or_default() += n;
+            }
+        }
+        runs
+    }
+
+    /// Returns the servers that had more requests in service than slots, with both numbers.
+    pub fn past_slots(&self) -> Vec<(ServerId, usize, usize)> {
+        let known = self.configuration.inventory.servers.iter();
+        known
+            .filter_map(|s| {
+                let peak = self.servers.get(&s.id)?.executions().peak_in_service;
+                let slots = s.slots as usize;
+                (peak > slots).then(|| (s.id.clone(), peak, slots))
+            })
+            .collect()
+    }
+
     /// Waits until a generation is in force at every running entry VM; returns the time taken.
     pub async fn wait_generation(&self, generation: Generation) -> Result<Duration> {
         self.wait(|status| status.generation >= generation).await
     }
 
     /// Waits until every running entry VM has slots.
-    async fn wait_ready(&self) -> Result<Duration> {
+    pub async fn wait_ready(&self) -> Result<Duration> {
         self.wait(|status| status.free_slots.values().any(|free| *free > 0))
             .await
     }
 
-    async fn wait(&self, is_met: impl Fn(&Status) -> bool) -> Result<Duration> {
+    /// Waits until the status of every running entry VM meets a condition.
+    pub async fn wait(&self, is_met: impl Fn(&Status) -> bool) -> Result<Duration> {
         let started = Instant::now();
         for vm in self.running() {
             loop {
                 if started.elapsed() > READY_LIMIT {
                     return Err(Report::new(Error::NotReady).attach(vm.id.to_string()));
                 }
-                if read_status(vm.operator_address)
-                    .await
-                    .is_ok_and(|s| is_met(&s))
-                {
+                let read = status::read(vm.operator_address).await;
+                if read.is_ok_and(|s| is_met(&s)) {
                     break;
                 }
                 runtime::sleep(Duration::from_millis(20)).await;
@@ -221,14 +336,15 @@
         Ok(started.elapsed())
     }
 
-    /// Stops everything.
+    /// Stops everything; children are killed.
     pub async fn stop(mut self) -> bool {
         let mut graceful = true;
-        let vms = std::mem::take(&mut self.vms);
         let mut tasks = Vec::new();
-        for (_, vm) in vms {
-            drop(vm.stop);
-            tasks.push(vm.task);
+        for (_, vm) in std::mem::take(&mut self.vms) {
+            if let RunningVm::Inside { stop, task } = vm {
+                drop(stop);
+                tasks.push(task);
+            }
         }
         for task in tasks {
             graceful &= task.await.is_ok();
@@ -237,55 +353,3 @@
         graceful
     }
 }
-
-async fn start_servers(
-    configuration: &Configuration,
-    options: &Options,
-    stops: &mut Vec<Sender<()>>,
-) -> Result<BTreeMap<ServerId, Server>> {
-    let mut servers = BTreeMap::new();
-    for (i, known) in configuration.inventory.servers.iter().enumerate() {
-        let services = &configuration.inventory.services;
-        let class = services
-            .iter()
-            .find(|s| s.id == known.service)
-            .map(|s| s.class);
-        let factor = if class == Some(Class::Deferrable) {
-            options.deferrable_factor
-        } else {
-            1
-        };
-        let server = Server::new(ServerSettings {
-            name: known.id.clone(),
-            slots: known.slots as usize,
-            connections: known.connections as usize,
-            service_time: options.service_time * factor,
-            exponential: true,
-            binding: class == Some(Class::Binding),
-            seed: options.seed + i as u64,
-            ..ServerSettings::default()
-        });
-        let listener = TcpListener::bind(known.address)
-            .await
-            .change_context(Error::Listen)?;
-        let (tx, rx) = async_channel::bounded(1);
-        runtime::spawn(serve_server(listener, server.clone(), rx)).detach();
-        stops.push(tx);
-        servers.insert(known.id.clone(), server);
-    }
-    Ok(servers)
-}
-
-async fn read_status(address: SocketAddr) -> Result<Status> {
-    let req = client::build(Method::Get, "/status").change_context(Error::Exchange)?;
-    let options = ClientOptions {
-        timeout: Duration::from_secs(1),
-        ..ClientOptions::default()
-    };
-    let mut res = Box::pin(client::request(address, req, &options))
-        .await
-        .change_context(Error::Exchange)?;
-    client::parse_json(&mut res)
-        .await
-        .change_context(Error::Exchange)
-}
--- /dev/null
+++ b/components/entry/tests/processes/main.rs
@@ -0,0 +1,9 @@
+//! Entry VMs as child processes that are killed, frozen and terminated under load.
+//!
+//! Every test compares what callers were told with the execution logs of the servers.
+
+mod common;
+mod freeze;
+mod kill;
+mod serve;
+mod terminate;
--- /dev/null
+++ b/components/entry/tests/processes/serve.rs
@@ -0,0 +1,39 @@
+//! Look-up, request and answer without failures.
+
+use deployment::{Answer, Caller, Work};
+
+use crate::common::{Both, DEADLINE, Setup, caller, pause, require};
+use deployment::sample::{LISTINGS, ORDERS};
+
+/// Guards against a daemon that serves only inside a test process, or only its own failure domain.
+#[test]
+fn both_domains_serve_callers_end_to_end() {
+    Setup::new("end-to-end").run(async |d| {
+        for vm in d.running() {
+            let one = Caller {
+                known: vec![vm.caller_address],
+                deadline: DEADLINE,
+            };
+            for (service, binding) in [(ORDERS, true), (LISTINGS, false)] {
+                let work = Work {
+                    service: service.into(),
+                    house: "house".into(),
+                    id: format!("first-{}-{service}", vm.id).into(),
+                    binding,
+                    answer_bytes: 100_000,
+                };
+                let found = one.look_up(service).await.unwrap();
+                assert_eq!(found.ticket.is_some(), binding);
+                let same_domain = |id: &str| d.entry_vm(id).is_some_and(|v| v.domain == vm.domain);
+                assert!(same_domain(&found.entry_vms[0].id), "{found:?}");
+                assert_eq!(one.perform(&work).await, Answer::Whole, "{work:?}");
+            }
+        }
+        let load = Both::start(&caller(d));
+        pause(2_000).await;
+        let operations = load.finish().await;
+        let verdict = require("end-to-end", d, &operations);
+        assert!(verdict.unknown.is_empty(), "{verdict}");
+        assert_eq!(d.past_slots(), []);
+    });
+}
--- /dev/null
+++ b/components/entry/tests/processes/terminate.rs
@@ -0,0 +1,102 @@
+//! Graceful shutdown of entry VMs.
+
+use std::time::{Duration, Instant};
+
+use config::Rules;
+use deployment::history::{Attempt, Operation};
+use deployment::sample::ORDERS;
+use deployment::{Answer, Credential, Work};
+use rustix::process::Signal;
+
+use crate::common::{Both, Setup, caller, pause, require, signal};
+
+/// Ticket lifetime, which bounds the shutdown.
+const TICKET_LIFETIME_MS: u64 = 3_000;
+/// Time until look-ups elsewhere no longer name the VM: heartbeats are sent every 500 ms.
+const LOOK_UP_LIMIT: Duration = Duration::from_secs(2);
+
+/// Guards against answers cut by a shutdown, look-ups that name the leaving VM, records that are
+/// lost before the last ticket has expired, and a failure exit status.
+#[test]
+fn terminated_entry_vm_finishes_its_work() {
+    let setup = Setup {
+        rules: Rules {
+            ticket_lifetime_ms: TICKET_LIFETIME_MS,
+            ..Rules::default()
+        },
+        ..Setup::new("terminated")
+    };
+    setup.run(async |d| {
+        let callers = caller(d);
+        let vm = d.configuration.inventory.entry_vms[0].clone();
+        let load = Both::start(&callers);
+        pause(800).await;
+        let (work, ticket) = owned_order(&callers, &vm.id).await;
+        let first = callers
+            .send(vm.caller_address, &work, Credential::Ticket(&ticket))
+            .await;
+        assert_eq!(first, Ok(Answer::Whole));
+        signal(d, &vm.id, Signal::TERM);
+        let begun = Instant::now();
+        pause(500).await;
+        let replayed = callers
+            .send(vm.caller_address, &work, Credential::Ticket(&ticket))
+            .await;
+        assert_eq!(replayed, Ok(Answer::Whole), "the record must be kept");
+        pause_until(begun + LOOK_UP_LIMIT).await;
+        for other in d
+            .running()
+            .into_iter()
+            .filter(|v| v.id != vm.id && v.domain == vm.domain)
+        {
+            let one = deployment::Caller {
+                known: vec![other.caller_address],
+                ..callers.clone()
+            };
+            for _ in 0..20 {
+                let found = one.look_up(ORDERS).await.unwrap();
+                assert!(found.entry_vms.iter().all(|v| v.id != vm.id), "{found:?}");
+            }
+        }
+        assert!(d.stop_entry_vm(&vm.id).await, "the exit status must be 0");
+        println!("stopped after {} ms", begun.elapsed().as_millis());
+        assert!(begun.elapsed() > Duration::from_millis(TICKET_LIFETIME_MS - 1_000));
+        let mut operations = load.finish().await;
+        operations.push(Operation {
+            id: work.id.clone(),
+            binding: true,
+            attempts: [first, replayed]
+                .into_iter()
+                .map(|a| Attempt {
+                    address: vm.caller_address,
+                    answer: a.unwrap(),
+                })
+                .collect(),
+        });
+        let verdict = require("terminated", d, &operations);
+        // A planned stop cuts nothing: every request was answered or refused.
+        assert!(verdict.unknown.is_empty(), "{verdict}");
+    });
+}
+
+/// Looks up until a ticket belongs to an entry VM.
+async fn owned_order(callers: &deployment::Caller, vm: &str) -> (Work, String) {
+    let work = Work {
+        service: ORDERS.into(),
+        house: "house".into(),
+        id: "kept-order".into(),
+        binding: true,
+        answer_bytes: 2_000,
+    };
+    for _ in 0..200 {
+        let found = callers.look_up(ORDERS).await.unwrap();
+        if &*found.entry_vms[0].id == vm {
+            return (work, found.ticket.unwrap().into());
+        }
+    }
+    panic!("no look-up named {vm} first");
+}
+
+async fn pause_until(at: Instant) {
+    runtime::sleep(at.saturating_duration_since(Instant::now())).await;
+}
