--- /dev/null
+++ b/components/dispatch/src/members.rs
@@ -0,0 +1,153 @@
+//! Entry VMs of the deployment, as heartbeats describe them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use config::{DomainId, EntryVmId, Incarnation, RegionId};
+use serde::{Deserialize, Serialize};
+
+/// Silence after which a member of the own region is not used; four heartbeats.
+const NEAR_SILENCE: Duration = Duration::from_millis(850);
+/// Silence after which a member of another region is not used; four heartbeats.
+const FAR_SILENCE: Duration = Duration::from_millis(2300);
+/// Silence after which a member is forgotten.
+const FORGET: Duration = Duration::from_secs(30);
+
+/// What an entry VM does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// It waits for a configuration and a list of servers.
+    Starting,
+    /// It serves.
+    Ready,
+    /// It has been asked to stop.
+    Leaving,
+}
+
+/// An entry VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Name.
+    pub id: EntryVmId,
+    /// Drawn at each process start.
+    pub incarnation: Incarnation,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Region.
+    pub region: RegionId,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where other entry VMs send datagrams and requests.
+    pub peers: SocketAddr,
+    /// What it does.
+    pub state: State,
+}
+
+/// All known entry VMs.
+#[derive(Clone, Debug)]
+pub struct Members {
+    /// The entry VM itself.
+    pub own: Member,
+    /// Others with the time of the last heartbeat; `None` before the first.
+    others: BTreeMap<EntryVmId, (Member, Option<Duration>)>,
+}
+
+impl Members {
+    /// Creates a list of one.
+    pub fn new(own: Member) -> Self {
+        Members {
+            own,
+            others: BTreeMap::new(),
+        }
+    }
+
+    /// Adds an entry VM that has not been heard; returns whether it was unknown.
+    pub fn add(&mut self, member: Member) -> bool {
+        if member.id == self.own.id {
+            return false;
+        }
+        let known = self.others.get(&member.id);
+        if known.is_some_and(|(k, heard)| heard.is_some() || k.incarnation == member.incarnation) {
+            return false;
+        }
+        self.others.insert(member.id.clone(), (member, None)).is_none()
+    }
+
+    /// Records a heartbeat; returns whether the member is new or has changed.
+    pub fn heard(&mut self, member: Member, now: Duration) -> bool {
+        if member.id == self.own.id {
+            return false;
+        }
+        let was_usable = self.usable(&member.id, now);
+        let old = self
+            .others
+            .insert(member.id.clone(), (member.clone(), Some(now)));
+        !was_usable || old.is_none_or(|(m, _)| m != member)
+    }
+
+    /// Forgets members that have been silent for long.
+    pub fn expire(&mut self, now: Duration) {
+        self.others
+            .retain(|_, (_, heard)| heard.is_none_or(|at| at + FORGET > now));
+    }
+
+    /// Returns all other members, silent ones too.
+    pub fn others(&self) -> impl Iterator<Item = &Member> {
+        self.others.values().map(|(m, _)| m)
+    }
+
+    /// Returns a member, whatever its state.
+    pub fn get(&self, id: &str) -> Option<&Member> {
+        self.others.get(id).map(|(m, _)| m)
+    }
+
+    /// Tells whether a member serves and has been heard lately.
+    pub fn usable(&self, id: &str, now: Duration) -> bool {
+        if id == &*self.own.id {
+            return self.own.state == State::Ready;
+        }
+        self.others.get(id).is_some_and(|(m, heard)| {
+            let silence = if m.region == self.own.region {
+                NEAR_SILENCE
+            } else {
+                FAR_SILENCE
+            };
+            m.state == State::Ready && heard.is_some_and(|at| at + silence > now)
+        })
+    }
+
+    /// Returns the members that serve, itself included.
+    pub fn serving(&self, now: Duration) -> Vec<&Member> {
+        self.others()
+            .chain(std::iter::once(&self.own))
+            .filter(|m| self.usable(&m.id, now))
+            .collect()
+    }
+
+    /// Tells whether no other member of the own region answers although some are known.
+    pub fn isolated(&self, now: Duration) -> bool {
+        let mut near = self.others().filter(|m| m.region == self.own.region).peekable();
+        near.peek().is_some() && !near.any(|m| self.usable(&m.id, now))
+    }
+
+    /// Returns the member of `region` that keeps the pool of `service`.
+    ///
+    /// All members that see the same serving members choose the same one.
+    pub fn keeper(&self, service: &str, region: &str, now: Duration) -> Option<&Member> {
+        self.serving(now)
+            .into_iter()
+            .filter(|m| &*m.region == region)
+            .max_by_key(|m| rendezvous(service, &m.id))
+    }
+}
+
+fn rendezvous(service: &str, id: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(service.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(id.as_bytes());
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(bytes)
+}
--- /dev/null
+++ b/components/dispatch/src/settings.rs
@@ -0,0 +1,55 @@
+//! Settings of a pool.
+
+use std::time::Duration;
+
+/// Limits and weights of the pool of one service in one region.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PoolSettings {
+    /// Requests a second that a cold server accepts from all entry VMs.
+    pub cold_per_s: f64,
+    /// Time for which a server that came back counts as cold.
+    pub cold_start: Duration,
+    /// Sends beyond the first of each request, as a share of the first sends in `retry_window`.
+    pub retry_ratio: f64,
+    /// Sends beyond the first that are allowed in each `retry_window` without any traffic.
+    pub retry_allowance: f64,
+    /// Window of the retry budget.
+    pub retry_window: Duration,
+    /// Time of a queue that never empties after which the service counts as overloaded.
+    pub standing_queue: Duration,
+    /// Share of the target latency for which a request waits under overload.
+    pub overload_wait: f64,
+    /// Share of the time to its deadline for which a request waits without overload.
+    pub normal_wait: f64,
+    /// Objects for which a server is taken to hold warm data.
+    pub warm_objects: usize,
+    /// Expected part of the usual service time when the server holds warm data.
+    pub warm_factor: f64,
+    /// Expected multiple of the usual service time on a cold server.
+    pub cold_factor: f64,
+    /// Time added for a server of another failure domain of the region.
+    pub cross_domain_cost: Duration,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        PoolSettings {
+            // The platform allows 1.5 times the rate plus a slack; the rest covers the second in
+            // which two entry VMs hold the same pool.
+            cold_per_s: 10.0,
+            cold_start: Duration::from_secs(3),
+            // Three quarters of the platform's ratio and of one region's part of its slack.
+            retry_ratio: 0.15,
+            retry_allowance: 10.0,
+            retry_window: Duration::from_secs(10),
+            standing_queue: Duration::from_millis(500),
+            // Requests that are refused within an eighth of their target cost nothing.
+            overload_wait: 0.125,
+            normal_wait: 0.45,
+            warm_objects: 24,
+            warm_factor: 0.7,
+            cold_factor: 2.0,
+            cross_domain_cost: Duration::from_millis(3),
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/answer.rs
@@ -0,0 +1,133 @@
+//! Answers to callers.
+
+use std::io::Write as _;
+use std::time::Duration;
+
+use crate::codes::{CODE_HEADER, Code, NOT_RUN, OUTCOME_HEADER, UNKNOWN};
+use crate::dispatcher::Slot;
+use crate::http::{Body, Connection, Header, ResponseHead, is_hop_by_hop};
+
+/// The rest of a body that is too long to hold.
+#[derive(Debug)]
+pub struct Rest {
+    /// Connection to the server.
+    pub connection: Connection,
+    /// What is left to read.
+    pub body: Body,
+    /// Slot of the server, until the body is complete; absent for answers of other entry VMs.
+    pub slot: Option<Slot>,
+}
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: u16,
+    reason: Box<str>,
+    headers: Vec<Header>,
+    /// Body, or its start.
+    pub body: Vec<u8>,
+    /// What follows `body`.
+    pub rest: Option<Rest>,
+    /// Length that was announced for an answer without a body, to HEAD.
+    head_length: Option<u64>,
+    /// Code, if the gateway answers itself.
+    pub code: Option<Code>,
+}
+
+impl Answer {
+    /// Creates an answer of the gateway itself.
+    pub fn own(code: Code, retry_after: Option<Duration>) -> Self {
+        let (status, reason) = code.status();
+        let outcome = if code.is_not_run() { NOT_RUN } else { UNKNOWN };
+        let mut answer = Answer::plain(status, reason, Vec::new());
+        answer.add(CODE_HEADER, &code.number().to_string());
+        answer.add(OUTCOME_HEADER, outcome);
+        if let Some(after) = retry_after {
+            answer.add("Retry-After", &format!("{:.3}", after.as_secs_f64()));
+        }
+        answer.code = Some(code);
+        answer
+    }
+
+    /// Creates an answer without header fields.
+    pub fn plain(status: u16, reason: &str, body: Vec<u8>) -> Self {
+        Answer {
+            status,
+            reason: reason.into(),
+            headers: Vec::new(),
+            body,
+            rest: None,
+            head_length: None,
+            code: None,
+        }
+    }
+
+    /// Passes on the answer of a server.
+    pub fn passed_on(head: ResponseHead, method: &str, body: Vec<u8>, rest: Option<Rest>) -> Self {
+        let head_length = (method == "HEAD")
+            .then(|| head.get("content-length").and_then(|v| v.parse().ok()))
+            .flatten();
+        let headers = head
+            .headers
+            .into_iter()
+            .filter(|h| !is_hop_by_hop(&h.name) && !h.name.eq_ignore_ascii_case("content-length"))
+            .collect();
+        Answer {
+            status: head.status,
+            reason: head.reason,
+            headers,
+            body,
+            rest,
+            head_length,
+            code: None,
+        }
+    }
+
+    /// Adds a header field.
+    pub fn add(&mut self, name: &str, value: &str) {
+        self.headers.push(Header {
+            name: name.into(),
+            value: value.as_bytes().into(),
+        });
+    }
+
+    /// Encodes the head and the part of the body that is held.
+    pub fn encode(&self, close: bool) -> Vec<u8> {
+        let mut out = Vec::with_capacity(256 + self.body.len());
+        // Writing to a vector cannot fail.
+        let _ = write!(out, "HTTP/1.1 {} {}\r\n", self.status, self.reason);
+        for h in &self.headers {
+            out.extend_from_slice(h.name.as_bytes());
+            out.extend_from_slice(b": ");
+            out.extend_from_slice(&h.value);
+            out.extend_from_slice(b"\r\n");
+        }
+        if self.rest.is_some() {
+            out.extend_from_slice(b"Transfer-Encoding: chunked\r\n");
+        } else if !matches!(self.status, 100..=199 | 204 | 304) {
+            let length = self.head_length.unwrap_or(self.body.len() as u64);
+            let _ = write!(out, "Content-Length: {length}\r\n");
+        }
+        if close {
+            out.extend_from_slice(b"Connection: close\r\n");
+        }
+        out.extend_from_slice(b"\r\n");
+        if self.rest.is_some() {
+            append_chunk(&mut out, &self.body);
+        } else {
+            out.extend_from_slice(&self.body);
+        }
+        out
+    }
+}
+
+/// Appends a chunk; an empty one would end the body.
+pub fn append_chunk(out: &mut Vec<u8>, bytes: &[u8]) {
+    if bytes.is_empty() {
+        return;
+    }
+    let _ = write!(out, "{:x}\r\n", bytes.len());
+    out.extend_from_slice(bytes);
+    out.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/components/gateway/src/codes.rs
@@ -0,0 +1,129 @@
+//! Numbered result codes of answers that the gateway gives itself; the table is in
+//! docs/RESULT-CODES.md.
+
+/// Header field with the number of the result code.
+pub const CODE_HEADER: &str = "x-result-code";
+/// Header field that tells whether the request was run.
+pub const OUTCOME_HEADER: &str = "x-outcome";
+/// Value of [`OUTCOME_HEADER`] for a request that no server ran or will run.
+pub const NOT_RUN: &str = "not-run";
+/// Value of [`OUTCOME_HEADER`] for a request that a server may have run.
+pub const UNKNOWN: &str = "unknown";
+
+/// Why the gateway answers itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Code {
+    /// The request is malformed.
+    BadRequest,
+    /// The request head is too long.
+    HeadTooLong,
+    /// The request body is too long.
+    BodyTooLong,
+    /// No route of the host matches the path, or the host is not configured.
+    NoRoute,
+    /// The entry VM has no configuration yet.
+    NoConfiguration,
+    /// No slot came free in time.
+    Overloaded,
+    /// The service has no usable server.
+    NoServers,
+    /// The retry budget is spent.
+    RetryBudget,
+    /// Every server that was tried refused the request without running it.
+    Refused,
+    /// The deadline passed before the request was sent to a server.
+    NoTime,
+    /// The entry VM is stopping.
+    Leaving,
+    /// The entry VM holds as many request bodies as its memory allows.
+    NoMemory,
+    /// The server's answer was lost or damaged.
+    AnswerLost,
+    /// The server did not answer in time.
+    Timeout,
+}
+
+impl Code {
+    /// All codes.
+    pub const ALL: [Code; 14] = [
+        Code::BadRequest,
+        Code::HeadTooLong,
+        Code::BodyTooLong,
+        Code::NoRoute,
+        Code::NoConfiguration,
+        Code::Overloaded,
+        Code::NoServers,
+        Code::RetryBudget,
+        Code::Refused,
+        Code::NoTime,
+        Code::Leaving,
+        Code::NoMemory,
+        Code::AnswerLost,
+        Code::Timeout,
+    ];
+
+    /// Returns the number.
+    pub fn number(self) -> u16 {
+        match self {
+            Code::BadRequest => 201,
+            Code::HeadTooLong => 202,
+            Code::BodyTooLong => 203,
+            Code::NoRoute => 204,
+            Code::NoConfiguration => 211,
+            Code::Overloaded => 212,
+            Code::NoServers => 213,
+            Code::RetryBudget => 214,
+            Code::Refused => 215,
+            Code::NoTime => 216,
+            Code::Leaving => 217,
+            Code::NoMemory => 218,
+            Code::AnswerLost => 221,
+            Code::Timeout => 222,
+        }
+    }
+
+    /// Returns the HTTP status and its reason phrase.
+    pub fn status(self) -> (u16, &'static str) {
+        match self {
+            Code::BadRequest => (400, "Bad Request"),
+            Code::HeadTooLong => (431, "Request Header Fields Too Large"),
+            Code::BodyTooLong => (413, "Content Too Large"),
+            Code::NoRoute => (404, "Not Found"),
+            Code::NoConfiguration
+            | Code::Overloaded
+            | Code::NoServers
+            | Code::RetryBudget
+            | Code::Refused
+            | Code::NoTime
+            | Code::Leaving
+            | Code::NoMemory => (503, "Service Unavailable"),
+            Code::AnswerLost => (502, "Bad Gateway"),
+            Code::Timeout => (504, "Gateway Timeout"),
+        }
+    }
+
+    /// Tells whether no server ran the request or will run it.
+    pub fn is_not_run(self) -> bool {
+        !matches!(self, Code::AnswerLost | Code::Timeout)
+    }
+
+    /// Returns the label for logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Code::BadRequest => "bad_request",
+            Code::HeadTooLong => "head_too_long",
+            Code::BodyTooLong => "body_too_long",
+            Code::NoRoute => "no_route",
+            Code::NoConfiguration => "no_configuration",
+            Code::Overloaded => "overloaded",
+            Code::NoServers => "no_servers",
+            Code::RetryBudget => "retry_budget",
+            Code::Refused => "refused_by_servers",
+            Code::NoTime => "no_time",
+            Code::Leaving => "leaving",
+            Code::NoMemory => "no_memory",
+            Code::AnswerLost => "answer_lost",
+            Code::Timeout => "timeout",
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/dispatcher/inbox.rs
@@ -0,0 +1,163 @@
+//! Messages from other entry VMs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use config::RegionId;
+use dispatch::{Ask, Decision, Member};
+
+use super::inner::Inner;
+use super::timing::FIRST_ROUND_TRIP;
+use crate::message::Message;
+
+impl Inner {
+    /// Handles a message.
+    pub fn receive(&mut self, message: Message, from: SocketAddr, now: Duration) {
+        match message {
+            Message::Heartbeat {
+                member, sent_us, ..
+            } => self.receive_heartbeat(member, sent_us, from, now),
+            Message::Echo { from: id, sent_us } => self.receive_echo(&id, sent_us, now),
+            Message::Introduce(members) => {
+                for member in members {
+                    self.add_member(member, now);
+                }
+            }
+            Message::Ask(ask) => self.receive_ask(ask, from, now),
+            Message::Waiting(id) => {
+                if let Some(pending) = self.pending.get_mut(&id.1) {
+                    pending.acknowledge(now);
+                }
+            }
+            Message::Decided(id, decision) => {
+                if id.0 == self.members.own.incarnation {
+                    let sender = self.sender(from);
+                    self.decided(id, decision, sender, now);
+                }
+            }
+            Message::End {
+                id,
+                service,
+                outcome,
+                load,
+            } => {
+                self.send(from, Message::Ended(id));
+                self.pool(&service).end(id, outcome, load, now);
+                self.decide(&service, now);
+            }
+            Message::Ended(id) => self.confirm_end(id),
+            Message::Register {
+                id,
+                service,
+                grant,
+                left,
+            } => {
+                self.askers.insert(id.0, from);
+                self.pool(&service).register(id, grant, left, now);
+            }
+            Message::Pools { region, pools, .. } => self.receive_pools(&region, pools, now),
+        }
+    }
+
+    fn sender(&self, from: SocketAddr) -> Option<config::EntryVmId> {
+        self.members
+            .others()
+            .find(|m| m.peers == from)
+            .map(|m| m.id.clone())
+    }
+
+    fn receive_heartbeat(
+        &mut self,
+        member: Member,
+        sent_us: u64,
+        from: SocketAddr,
+        now: Duration,
+    ) {
+        let region = member.region.clone();
+        let id = member.id.clone();
+        let known = self.members.get(&id).map(|m| m.incarnation);
+        if let Some(old) = known
+            && old != member.incarnation
+        {
+            self.askers.remove(&old);
+            for pool in self.pools.values_mut() {
+                pool.drop_incarnation(old);
+            }
+        }
+        if known.is_none() {
+            self.introduce(from);
+        }
+        let state = member.state;
+        let incarnation = member.incarnation;
+        if self.members.heard(member, now) {
+            log::info!(
+                "event=member_changed member={id} incarnation={incarnation:x} state={state:?} region={region}"
+            );
+            self.follow_keepers(now);
+            let heartbeat = self.own_heartbeat(now);
+            self.send(from, heartbeat);
+        }
+        if region != self.members.own.region {
+            let from_id = self.members.own.id.clone();
+            self.send(
+                from,
+                Message::Echo {
+                    from: from_id,
+                    sent_us,
+                },
+            );
+        }
+    }
+
+    /// Tells an entry VM that was unknown about the others.
+    fn introduce(&mut self, to: SocketAddr) {
+        const AT_ONCE: usize = 16;
+        let members: Vec<Member> = self.members.others().cloned().collect();
+        for some in members.chunks(AT_ONCE) {
+            self.send(to, Message::Introduce(some.to_vec()));
+        }
+    }
+
+    fn receive_echo(&mut self, id: &str, sent_us: u64, now: Duration) {
+        let Some(region) = self.members.get(id).map(|m| m.region.clone()) else {
+            return;
+        };
+        let measured = now.saturating_sub(Duration::from_micros(sent_us));
+        let old = self.round_trips.get(&region).copied();
+        let smoothed = old.map_or(measured, |o| (o * 7 + measured) / 8);
+        self.round_trips.insert(region, smoothed);
+    }
+
+    fn receive_ask(&mut self, ask: Ask, from: SocketAddr, now: Duration) {
+        let id = ask.id;
+        let service = ask.service.clone();
+        self.askers.insert(id.0, from);
+        let pool = self.pool(&service);
+        if let Some(grant) = pool.granted(id).cloned() {
+            self.send(from, Message::Decided(id, Decision::Grant(grant)));
+            return;
+        }
+        pool.ask(ask, now);
+        self.decide(&service, now);
+        if self.pool(&service).waits(id) {
+            self.send(from, Message::Waiting(id));
+        }
+    }
+
+    fn receive_pools(
+        &mut self,
+        region: &RegionId,
+        pools: Vec<(config::ServiceId, dispatch::Snapshot)>,
+        now: Duration,
+    ) {
+        let round_trip = self
+            .round_trips
+            .get(region)
+            .copied()
+            .unwrap_or(FIRST_ROUND_TRIP);
+        for (service, snapshot) in pools {
+            self.pool(&service)
+                .note_remote(region.clone(), snapshot, round_trip, now);
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/dispatcher/inner.rs
@@ -0,0 +1,589 @@
+//! State of the dispatcher.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use config::{DomainId, EntryVmId, RegionId, ServiceId};
+use dispatch::{
+    Ask, AskId, Decision, Grant, Load, Member, Members, Outcome, Pool, PoolSettings, Server, State,
+};
+
+use super::Request;
+use super::timing::{
+    ASK_REPEAT, ASK_TRIES, END_REPEAT, END_TRIES, FAR_HEARTBEAT, NEAR_HEARTBEAT, POOL_REPORT,
+    WAIT_CHECK,
+};
+use crate::message::Message;
+use crate::settings::Settings;
+
+/// A request of this entry VM that waits for a decision.
+#[derive(Debug)]
+pub(super) struct Pending {
+    ask: Ask,
+    /// Receives the decision.
+    tx: Sender<Decision>,
+    /// Entry VM that was asked; `None` for the own pool.
+    keeper: Option<EntryVmId>,
+    /// When the ask was last sent.
+    sent_at: Duration,
+    /// Asks without an answer.
+    tries: u32,
+    /// When the request came.
+    since: Duration,
+}
+
+/// A slot in use by a request of this entry VM.
+#[derive(Debug)]
+pub(super) struct InUse {
+    service: ServiceId,
+    pub grant: Grant,
+    /// Entry VM that granted it; `None` for the own pool.
+    pub keeper: Option<EntryVmId>,
+    expires: Duration,
+}
+
+/// An end that the keeper has not confirmed.
+#[derive(Debug)]
+struct Unconfirmed {
+    to: SocketAddr,
+    message: Message,
+    sent_at: Duration,
+    tries: u32,
+}
+
+/// State of the dispatcher.
+#[derive(Debug)]
+pub(super) struct Inner {
+    pub members: Members,
+    pub generation: u64,
+    /// Regions of all failure domains.
+    domains: BTreeMap<DomainId, RegionId>,
+    seeds: Vec<SocketAddr>,
+    pub pools: BTreeMap<ServiceId, Pool>,
+    evacuated: Vec<DomainId>,
+    next_number: u64,
+    pub pending: HashMap<u64, Pending>,
+    pub in_use: HashMap<u64, InUse>,
+    unconfirmed: HashMap<AskId, Unconfirmed>,
+    pub round_trips: BTreeMap<RegionId, Duration>,
+    /// Addresses of the incarnations that have asked.
+    pub askers: HashMap<u64, SocketAddr>,
+    next_near: Duration,
+    next_far: Duration,
+    next_report: Duration,
+    outbox: Vec<(SocketAddr, Message)>,
+}
+
+impl Inner {
+    pub fn new(settings: &Settings, own: Member) -> Self {
+        Inner {
+            members: Members::new(own),
+            generation: 0,
+            domains: settings.domains.clone(),
+            seeds: settings.seeds.clone(),
+            pools: BTreeMap::new(),
+            evacuated: Vec::new(),
+            next_number: 1,
+            pending: HashMap::new(),
+            in_use: HashMap::new(),
+            unconfirmed: HashMap::new(),
+            round_trips: BTreeMap::new(),
+            askers: HashMap::new(),
+            next_near: Duration::ZERO,
+            next_far: Duration::ZERO,
+            next_report: Duration::ZERO,
+            outbox: Vec::new(),
+        }
+    }
+
+    pub fn take_outbox(&mut self) -> Vec<(SocketAddr, Message)> {
+        std::mem::take(&mut self.outbox)
+    }
+
+    pub fn send(&mut self, to: SocketAddr, message: Message) {
+        self.outbox.push((to, message));
+    }
+
+    pub fn set_state(&mut self, state: State, now: Duration) {
+        self.members.own.state = state;
+        self.heartbeat(true, true, now);
+        self.follow_keepers(now);
+    }
+
+    pub fn configure(&mut self, service: &ServiceId, cfg: PoolSettings) {
+        self.pool(service).configure(cfg);
+    }
+
+    pub fn pool(&mut self, service: &ServiceId) -> &mut Pool {
+        self.pools
+            .entry(service.clone())
+            .or_insert_with(|| Pool::new(PoolSettings::default()))
+    }
+
+    pub fn put_server(&mut self, server: Server, now: Duration) {
+        let here = self.domains.get(&server.domain) == Some(&self.members.own.region);
+        for (service, pool) in &mut self.pools {
+            if !here || *service != server.service {
+                pool.remove_server(&server.id);
+            }
+        }
+        if here {
+            let evacuated = self.evacuated.clone();
+            let pool = self.pool(&server.service.clone());
+            pool.put_server(server, now);
+            pool.evacuate(&evacuated, now);
+        }
+        self.decide_all(now);
+    }
+
+    pub fn remove_server(&mut self, id: &str) {
+        for pool in self.pools.values_mut() {
+            pool.remove_server(id);
+        }
+    }
+
+    pub fn evacuate(&mut self, domains: Vec<DomainId>, now: Duration) {
+        for pool in self.pools.values_mut() {
+            pool.evacuate(&domains, now);
+        }
+        self.evacuated = domains;
+    }
+
+    pub fn add_member(&mut self, member: Member, now: Duration) {
+        let to = member.peers;
+        if self.members.add(member) {
+            let heartbeat = self.own_heartbeat(now);
+            self.send(to, heartbeat);
+        }
+    }
+
+    pub fn usual(&self, service: &str) -> Option<Duration> {
+        self.pools.get(service).and_then(Pool::usual)
+    }
+
+    /// Numbers a request and asks the keeper of its pool.
+    pub fn open(&mut self, request: &Request, now: Duration) -> (u64, Receiver<Decision>) {
+        let number = self.next_number;
+        self.next_number += 1;
+        let own = &self.members.own;
+        let ask = Ask {
+            id: (own.incarnation, number),
+            service: request.service.clone(),
+            domain: own.domain.clone(),
+            target_left: request.target_at.saturating_sub(now),
+            deadline_left: request.deadline_at.saturating_sub(now),
+            waited: now.saturating_sub(request.since),
+            rank: request.rank,
+            repeat: request.repeat,
+            object: request.object,
+            avoid: request.avoid.clone(),
+            regions: request.regions.clone(),
+        };
+        let (tx, rx) = async_channel::bounded(1);
+        let pending = Pending {
+            keeper: self.keeper(&ask.service, now),
+            ask,
+            tx,
+            sent_at: now,
+            tries: 0,
+            since: now,
+        };
+        self.pending.insert(number, pending);
+        self.place(number, now);
+        (number, rx)
+    }
+
+    /// Returns the other entry VM that keeps the pool, or `None` for the own pool.
+    fn keeper(&self, service: &str, now: Duration) -> Option<EntryVmId> {
+        let own = &self.members.own;
+        let keeper = self.members.keeper(service, &own.region, now)?;
+        (keeper.id != own.id).then(|| keeper.id.clone())
+    }
+
+    /// Sends a pending request to its keeper.
+    fn place(&mut self, number: u64, now: Duration) {
+        let Some(pending) = self.pending.get_mut(&number) else {
+            return;
+        };
+        let passed = now.saturating_sub(pending.sent_at);
+        pending.sent_at = now;
+        let ask = &mut pending.ask;
+        ask.target_left = ask.target_left.saturating_sub(passed);
+        ask.deadline_left = ask.deadline_left.saturating_sub(passed);
+        ask.waited += passed;
+        let ask = ask.clone();
+        let address = pending
+            .keeper
+            .as_ref()
+            .and_then(|id| self.members.get(id))
+            .map(|m| m.peers);
+        match address {
+            Some(to) => self.send(to, Message::Ask(ask)),
+            None => {
+                pending.keeper = None;
+                let service = ask.service.clone();
+                self.pool(&service).ask(ask, now);
+                self.decide(&service, now);
+            }
+        }
+    }
+
+    /// Ends a request of this entry VM.
+    pub fn close(&mut self, number: u64, outcome: Outcome, load: Option<Load>, now: Duration) {
+        let (service, keeper) = if let Some(used) = self.in_use.remove(&number) {
+            (used.service, used.keeper)
+        } else if let Some(pending) = self.pending.remove(&number) {
+            (pending.ask.service, pending.keeper)
+        } else {
+            return;
+        };
+        let id = (self.members.own.incarnation, number);
+        let address = keeper.and_then(|k| self.members.get(&k).map(|m| m.peers));
+        match address {
+            Some(to) => self.send_end(to, id, service, outcome, load, now),
+            None => {
+                self.pool(&service).end(id, outcome, load, now);
+                self.decide(&service, now);
+            }
+        }
+    }
+
+    pub fn send_end(
+        &mut self,
+        to: SocketAddr,
+        id: AskId,
+        service: ServiceId,
+        outcome: Outcome,
+        load: Option<Load>,
+        now: Duration,
+    ) {
+        let message = Message::End {
+            id,
+            service,
+            outcome,
+            load,
+        };
+        self.send(to, message.clone());
+        let unconfirmed = Unconfirmed {
+            to,
+            message,
+            sent_at: now,
+            tries: 1,
+        };
+        self.unconfirmed.insert(id, unconfirmed);
+    }
+
+    pub fn confirm_end(&mut self, id: AskId) {
+        self.unconfirmed.remove(&id);
+    }
+
+    /// Decides what can be decided in a pool and tells the requesters.
+    pub fn decide(&mut self, service: &ServiceId, now: Duration) {
+        let decisions = self.pool(service).schedule(now);
+        for (id, decision) in decisions {
+            if id.0 == self.members.own.incarnation {
+                self.decided(id, decision, None, now);
+            } else if let Some(&to) = self.askers.get(&id.0) {
+                self.send(to, Message::Decided(id, decision));
+            }
+        }
+    }
+
+    pub fn decide_all(&mut self, now: Duration) {
+        let waiting: Vec<ServiceId> = self
+            .pools
+            .iter()
+            .filter(|(_, p)| p.waiting())
+            .map(|(s, _)| s.clone())
+            .collect();
+        for service in waiting {
+            self.decide(&service, now);
+        }
+    }
+
+    /// Delivers a decision; `from` is the entry VM that made it, `None` for the own pool.
+    pub fn decided(
+        &mut self,
+        id: AskId,
+        decision: Decision,
+        from: Option<EntryVmId>,
+        now: Duration,
+    ) {
+        let number = id.1;
+        let Some(pending) = self.pending.remove(&number) else {
+            self.return_grant(id, &decision, from, now);
+            return;
+        };
+        if let Decision::Grant(grant) = &decision {
+            let used = InUse {
+                service: pending.ask.service.clone(),
+                grant: grant.clone(),
+                keeper: from,
+                expires: pending.sent_at + pending.ask.deadline_left,
+            };
+            self.in_use.insert(number, used);
+        }
+        let waited = now.saturating_sub(pending.since).as_secs_f64();
+        metrics::histogram!("admission_wait_seconds").record(waited);
+        if pending.tx.try_send(decision).is_err() {
+            // The caller has left meanwhile.
+            self.close(number, Outcome::Unused, None, now);
+        }
+    }
+
+    /// Gives back a slot that nobody waits for: the request has ended or was granted elsewhere.
+    fn return_grant(
+        &mut self,
+        id: AskId,
+        decision: &Decision,
+        from: Option<EntryVmId>,
+        now: Duration,
+    ) {
+        let Decision::Grant(grant) = decision else {
+            return;
+        };
+        let repeated = self
+            .in_use
+            .get(&id.1)
+            .is_some_and(|u| u.keeper == from && u.grant == *grant);
+        let address = from.and_then(|f| self.members.get(&f).map(|m| m.peers));
+        if repeated || self.unconfirmed.contains_key(&id) {
+            return;
+        }
+        let service = self.service_of(grant);
+        if let (Some(to), Some(service)) = (address, service) {
+            self.send(
+                to,
+                Message::End {
+                    id,
+                    service,
+                    outcome: Outcome::Unused,
+                    load: None,
+                },
+            );
+        }
+    }
+
+    fn service_of(&self, grant: &Grant) -> Option<ServiceId> {
+        self.pools
+            .iter()
+            .find(|(_, p)| p.knows(&grant.server))
+            .map(|(s, _)| s.clone())
+    }
+
+    /// Moves requests and slots to the entry VMs that keep their pools now.
+    pub fn follow_keepers(&mut self, now: Duration) {
+        let services: Vec<ServiceId> = self.pools.keys().cloned().collect();
+        for service in services {
+            let keeper = self.keeper(&service, now);
+            self.move_pending(&service, keeper.as_ref(), now);
+            self.move_slots(&service, keeper.as_ref(), now);
+        }
+    }
+
+    fn move_pending(&mut self, service: &ServiceId, keeper: Option<&EntryVmId>, now: Duration) {
+        let moved: Vec<u64> = self
+            .pending
+            .iter()
+            .filter(|(_, p)| p.ask.service == *service && p.tries < ASK_TRIES)
+            .filter(|(_, p)| p.keeper.as_ref() != keeper)
+            .map(|(n, _)| *n)
+            .collect();
+        for number in moved {
+            let own = self.members.own.incarnation;
+            self.pool(service).end((own, number), Outcome::Unused, None, now);
+            self.pool(service).forget_end((own, number));
+            if let Some(p) = self.pending.get_mut(&number) {
+                p.keeper = keeper.cloned();
+                p.tries = 0;
+            }
+            self.place(number, now);
+        }
+    }
+
+    fn move_slots(&mut self, service: &ServiceId, keeper: Option<&EntryVmId>, now: Duration) {
+        let moved: Vec<(u64, Grant, Duration)> = self
+            .in_use
+            .iter_mut()
+            .filter(|(_, u)| u.service == *service && u.keeper.as_ref() != keeper)
+            .map(|(n, u)| {
+                u.keeper = keeper.cloned();
+                (*n, u.grant.clone(), u.expires.saturating_sub(now))
+            })
+            .collect();
+        let to = keeper.and_then(|k| self.members.get(k)).map(|m| m.peers);
+        for (number, grant, left) in moved {
+            let id = (self.members.own.incarnation, number);
+            match to {
+                Some(to) => {
+                    let service = service.clone();
+                    self.send(
+                        to,
+                        Message::Register {
+                            id,
+                            service,
+                            grant,
+                            left,
+                        },
+                    );
+                }
+                None => self.pool(service).register(id, grant, left, now),
+            }
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Duration) {
+        let near = now >= self.next_near;
+        let far = now >= self.next_far;
+        if near {
+            self.next_near = now + NEAR_HEARTBEAT;
+            self.members.expire(now);
+            let isolated = self.members.isolated(now);
+            for pool in self.pools.values_mut() {
+                pool.set_isolated(isolated);
+            }
+            self.follow_keepers(now);
+        }
+        if far {
+            self.next_far = now + FAR_HEARTBEAT;
+        }
+        if near || far {
+            self.heartbeat(near, far, now);
+        }
+        if now >= self.next_report {
+            self.next_report = now + POOL_REPORT;
+            self.report_pools(now);
+        }
+        self.repeat_asks(now);
+        self.repeat_ends(now);
+        self.decide_all(now);
+    }
+
+    pub fn own_heartbeat(&self, now: Duration) -> Message {
+        Message::Heartbeat {
+            member: self.members.own.clone(),
+            generation: self.generation,
+            sent_us: now.as_micros() as u64,
+        }
+    }
+
+    fn heartbeat(&mut self, near: bool, far: bool, now: Duration) {
+        let own = &self.members.own;
+        let mut to: Vec<SocketAddr> = self
+            .members
+            .others()
+            .filter(|m| if m.region == own.region { near } else { far })
+            .map(|m| m.peers)
+            .collect();
+        if far && to.is_empty() && self.members.others().next().is_none() {
+            to.extend(self.seeds.iter().filter(|&&s| s != own.peers));
+        }
+        let heartbeat = self.own_heartbeat(now);
+        for address in to {
+            self.send(address, heartbeat.clone());
+        }
+    }
+
+    /// Reports the pools that this entry VM keeps to those that keep them in other regions.
+    fn report_pools(&mut self, now: Duration) {
+        let own = self.members.own.clone();
+        if own.state != State::Ready {
+            return;
+        }
+        let mut regions: Vec<RegionId> = self.domains.values().cloned().collect();
+        regions.sort();
+        regions.dedup();
+        let mut reports: BTreeMap<SocketAddr, Vec<(ServiceId, dispatch::Snapshot)>> =
+            BTreeMap::new();
+        for (service, pool) in &mut self.pools {
+            let keeper = self.members.keeper(service, &own.region, now);
+            if keeper.is_none_or(|k| k.id != own.id) {
+                continue;
+            }
+            let snapshot = pool.snapshot(now);
+            for region in regions.iter().filter(|r| **r != own.region) {
+                if let Some(to) = self.members.keeper(service, region, now) {
+                    let pools = reports.entry(to.peers).or_default();
+                    pools.push((service.clone(), snapshot));
+                }
+            }
+        }
+        for (to, pools) in reports {
+            let region = own.region.clone();
+            let incarnation = own.incarnation;
+            self.send(
+                to,
+                Message::Pools {
+                    region,
+                    incarnation,
+                    pools,
+                },
+            );
+        }
+    }
+
+    fn repeat_asks(&mut self, now: Duration) {
+        let due: Vec<u64> = self
+            .pending
+            .iter()
+            .filter(|(_, p)| p.keeper.is_some() && now >= p.sent_at + p.period())
+            .map(|(n, _)| *n)
+            .collect();
+        for number in due {
+            let Some(pending) = self.pending.get_mut(&number) else {
+                continue;
+            };
+            pending.tries += 1;
+            if pending.tries >= ASK_TRIES {
+                metrics::counter!("asks_unanswered").increment(1);
+                log::info!(
+                    "event=keeper_silent keeper={} service={} tries={}",
+                    pending.keeper.as_deref().unwrap_or(""),
+                    pending.ask.service,
+                    pending.tries
+                );
+                pending.keeper = None;
+            }
+            self.place(number, now);
+        }
+    }
+
+    fn repeat_ends(&mut self, now: Duration) {
+        let outbox = &mut self.outbox;
+        self.unconfirmed.retain(|_, u| {
+            if now < u.sent_at + END_REPEAT {
+                return true;
+            }
+            u.tries += 1;
+            u.sent_at = now;
+            if u.tries <= END_TRIES {
+                outbox.push((u.to, u.message.clone()));
+            }
+            u.tries <= END_TRIES
+        });
+    }
+}
+
+impl Pending {
+    /// Time between two asks.
+    fn period(&self) -> Duration {
+        if self.tries == 0 && self.sent_at > self.since {
+            WAIT_CHECK
+        } else {
+            ASK_REPEAT
+        }
+    }
+
+    /// Records that the keeper knows the request.
+    pub fn acknowledge(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.sent_at).max(Duration::from_nanos(1));
+        self.ask.target_left = self.ask.target_left.saturating_sub(passed);
+        self.ask.deadline_left = self.ask.deadline_left.saturating_sub(passed);
+        self.ask.waited += passed;
+        self.sent_at = now.max(self.since + Duration::from_nanos(1));
+        self.tries = 0;
+    }
+}
--- /dev/null
+++ b/components/gateway/src/dispatcher/slot.rs
@@ -0,0 +1,91 @@
+//! Guards that end a request when they are dropped.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use config::ServiceId;
+use dispatch::{Grant, Load, Outcome};
+
+use super::Dispatcher;
+
+/// A request that waits; dropping it withdraws the request.
+pub(super) struct Ticket {
+    dispatcher: Arc<Dispatcher>,
+    number: u64,
+    settled: bool,
+}
+
+impl Ticket {
+    pub fn new(dispatcher: Arc<Dispatcher>, number: u64) -> Self {
+        Ticket {
+            dispatcher,
+            number,
+            settled: false,
+        }
+    }
+
+    /// Keeps the request: a decision has come.
+    pub fn settle(&mut self) {
+        self.settled = true;
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.dispatcher.end(self.number, Outcome::Unused, None);
+        }
+    }
+}
+
+/// The right to send one request to one server. Dropping it frees the slot.
+#[derive(Debug)]
+pub struct Slot {
+    dispatcher: Arc<Dispatcher>,
+    number: u64,
+    /// Service of the server.
+    pub service: ServiceId,
+    /// The server.
+    pub grant: Grant,
+    /// Outcome that is reported when the slot is dropped.
+    outcome: Outcome,
+    load: Option<Load>,
+    /// When the slot was granted.
+    pub since: Duration,
+}
+
+impl Slot {
+    pub(super) fn new(
+        dispatcher: Arc<Dispatcher>,
+        number: u64,
+        service: ServiceId,
+        grant: Grant,
+    ) -> Self {
+        let since = dispatcher.now();
+        Slot {
+            dispatcher,
+            number,
+            service,
+            grant,
+            outcome: Outcome::Unused,
+            load: None,
+            since,
+        }
+    }
+
+    /// Sets the outcome that is reported if the request ends now.
+    pub fn set_outcome(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+
+    /// Records the load that the server reported.
+    pub fn set_load(&mut self, load: Option<Load>) {
+        self.load = load;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.dispatcher.end(self.number, self.outcome, self.load);
+    }
+}
--- /dev/null
+++ b/components/gateway/src/dispatcher/timing.rs
@@ -0,0 +1,24 @@
+//! Periods and time limits of messages between entry VMs.
+
+use std::time::Duration;
+
+/// Time between two rounds of repeats and decisions.
+pub const TICK: Duration = Duration::from_millis(20);
+/// Time between heartbeats to entry VMs of the region.
+pub const NEAR_HEARTBEAT: Duration = Duration::from_millis(200);
+/// Time between heartbeats to entry VMs of other regions.
+pub const FAR_HEARTBEAT: Duration = Duration::from_millis(550);
+/// Time between reports of pools to other regions.
+pub const POOL_REPORT: Duration = Duration::from_millis(100);
+/// Time after which an unanswered ask is repeated; over ten round trips between domains.
+pub const ASK_REPEAT: Duration = Duration::from_millis(40);
+/// Unanswered asks after which the own pool decides.
+pub const ASK_TRIES: u32 = 3;
+/// Time between checks that a waiting request is still known to the keeper.
+pub const WAIT_CHECK: Duration = Duration::from_millis(300);
+/// Time after which an unconfirmed end is repeated.
+pub const END_REPEAT: Duration = Duration::from_millis(60);
+/// Unconfirmed ends after which the grant is left to expire.
+pub const END_TRIES: u32 = 8;
+/// Round trip to another region before it was measured.
+pub const FIRST_ROUND_TRIP: Duration = Duration::from_millis(110);
--- /dev/null
+++ b/components/gateway/src/lib.rs
@@ -0,0 +1,130 @@
+//! The gateway of an entry VM: relays requests of callers to backend servers.
+//!
+//! The entry VMs of a region share the slots of its servers: for each service one of them keeps
+//! the pool and grants slots to the others. Requests for which the region has no slot are passed on
+//! to a region that has.
+
+mod answer;
+mod callers;
+mod codes;
+mod dialect;
+mod dispatcher;
+mod error;
+mod exchange;
+mod http;
+mod idle;
+mod message;
+mod node;
+mod relay;
+mod service;
+mod settings;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_net::TcpListener;
+use dispatch::{Member, State};
+use error_stack::ResultExt;
+use runtime::{Clock, TimerService};
+
+pub use codes::Code;
+pub use dialect::{Dialect, HeaderNames, LookUp};
+pub use error::{Error, Result};
+pub use node::Node;
+pub use settings::Settings;
+
+use dispatcher::Dispatcher;
+use relay::Origin;
+
+/// Part of the grace period after which idle connections of callers are closed. Callers have had
+/// a new answer to their look-up by then.
+const IDLE_STOP_SHARE: f64 = 0.5;
+/// Part of the grace period before which the process does not end, so that callers with an old
+/// answer still reach it.
+const STOP_SHARE: f64 = 0.6;
+/// Time before the end of the grace period at which the process ends in any case.
+const LAST_MOMENT: Duration = Duration::from_millis(350);
+/// Time between checks whether requests are left.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+
+/// Starts an entry VM. It serves once it has a configuration and a list of servers.
+pub async fn start(settings: Settings, dialect: Dialect, clock: Clock) -> Result<Arc<Node>> {
+    let own = Member {
+        id: settings.id.clone(),
+        incarnation: fastrand::u64(1..),
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+        callers: settings.callers,
+        peers: settings.peers,
+        state: State::Starting,
+    };
+    log::info!(
+        "event=start id={} incarnation={:x} domain={} region={} callers={} version={}",
+        own.id,
+        own.incarnation,
+        own.domain,
+        own.region,
+        own.callers,
+        env!("CARGO_PKG_VERSION")
+    );
+    let dispatcher = Dispatcher::bind(&settings, own, clock)
+        .change_context_lazy(|| Error::Bind(settings.peers))?;
+    let node = Node::new(settings, dialect, dispatcher.clone());
+    let timers = TimerService::start(clock);
+    runtime::spawn(dispatcher.clone().receive()).detach();
+    runtime::spawn(dispatcher.tick(timers.clone())).detach();
+    runtime::spawn(expire_idle(node.clone(), timers)).detach();
+    let cfg = node.settings.clone();
+    let callers = bind(cfg.callers).await?;
+    runtime::spawn(callers::serve(node.clone(), callers, Origin::Caller)).detach();
+    let peers = bind(cfg.peers).await?;
+    runtime::spawn(callers::serve(node.clone(), peers, Origin::EntryVm)).detach();
+    let simple: [(SocketAddr, fn(&Node, &http::RequestHead) -> answer::Answer); 3] = [
+        (cfg.readiness, service::readiness),
+        (cfg.look_ups, service::look_up),
+        (cfg.metrics, service::metrics),
+    ];
+    for (address, respond) in simple {
+        let listener = bind(address).await?;
+        runtime::spawn(service::serve(node.clone(), listener, respond)).detach();
+    }
+    Ok(node)
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .change_context_lazy(|| Error::Bind(address))
+}
+
+/// Closes idle connections that are near their limit.
+async fn expire_idle(node: Arc<Node>, timers: TimerService) {
+    let ticks = timers.subscribe(Duration::from_secs(1));
+    while ticks.recv().await.is_ok() {
+        node.idle.expire(node.now());
+    }
+}
+
+/// Serves until `stop` closes, then stops gracefully: callers are led away, requests in flight are
+/// answered, and the process ends before the grace period does.
+pub async fn run_until(node: &Node, stop: Receiver<()>) {
+    // Nothing is sent; the channel closes at a signal.
+    let _ = stop.recv().await;
+    let grace = node.settings.grace_period;
+    log::info!("event=stopping open_requests={} grace_ms={}", node.open_requests(), grace.as_millis());
+    node.leave();
+    let started = node.now();
+    runtime::sleep(grace.mul_f64(IDLE_STOP_SHARE)).await;
+    node.stop_idle();
+    let earliest = started + grace.mul_f64(STOP_SHARE);
+    let latest = (started + grace).saturating_sub(LAST_MOMENT);
+    while node.now() < latest {
+        if node.now() >= earliest && node.open_requests() == 0 {
+            break;
+        }
+        runtime::sleep(STOP_CHECK).await;
+    }
+    log::info!("event=stopped open_requests={}", node.open_requests());
+}
--- /dev/null
+++ b/components/gateway/src/message.rs
@@ -0,0 +1,87 @@
+//! Datagrams between entry VMs, encoded as MessagePack.
+
+use config::{EntryVmId, Incarnation, RegionId, ServiceId};
+use dispatch::{Ask, AskId, Decision, Grant, Load, Member, Outcome, Snapshot};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Longest datagram.
+pub const MAX_DATAGRAM: usize = 8 * 1024;
+
+/// A message between entry VMs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// The sender is alive.
+    Heartbeat {
+        /// The sender.
+        member: Member,
+        /// Configuration in force at the sender.
+        generation: u64,
+        /// Uptime of the sender in microseconds; comes back in the echo.
+        sent_us: u64,
+    },
+    /// Answer to a heartbeat of another region.
+    Echo {
+        /// Who answers.
+        from: EntryVmId,
+        /// As in the heartbeat.
+        sent_us: u64,
+    },
+    /// Members that the receiver may not know.
+    Introduce(Vec<Member>),
+    /// Asks the keeper of a pool for a slot.
+    Ask(Ask),
+    /// The request waits.
+    Waiting(AskId),
+    /// The keeper has decided.
+    Decided(AskId, Decision),
+    /// A request has ended, or is not wanted any more.
+    End {
+        /// Which.
+        id: AskId,
+        /// Service of the pool.
+        service: ServiceId,
+        /// How.
+        outcome: Outcome,
+        /// Load that the server reported.
+        load: Option<Load>,
+    },
+    /// An end has been recorded.
+    Ended(AskId),
+    /// A slot granted by a former keeper is in use.
+    Register {
+        /// By which request.
+        id: AskId,
+        /// Service of the pool.
+        service: ServiceId,
+        /// The slot.
+        grant: Grant,
+        /// Time until the request ends at the latest.
+        left: Duration,
+    },
+    /// State of pools that the sender keeps.
+    Pools {
+        /// Region of the pools.
+        region: RegionId,
+        /// Incarnation of the sender.
+        incarnation: Incarnation,
+        /// State by service.
+        pools: Vec<(ServiceId, Snapshot)>,
+    },
+}
+
+/// Encodes a message.
+pub fn encode(message: &Message) -> Option<Vec<u8>> {
+    match rmp_serde::to_vec(message) {
+        Ok(bytes) => Some(bytes),
+        Err(e) => {
+            log::warn!("event=encode_failed error=\"{e}\"");
+            None
+        }
+    }
+}
+
+/// Decodes a datagram.
+pub fn decode(bytes: &[u8]) -> Result<Message, rmp_serde::decode::Error> {
+    rmp_serde::from_slice(bytes)
+}
--- /dev/null
+++ b/components/gateway/src/settings.rs
@@ -0,0 +1,81 @@
+//! Settings of an entry VM.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use config::{DomainId, EntryVmId, RegionId};
+
+/// Settings of an entry VM.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of the entry VM.
+    pub id: EntryVmId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Its region.
+    pub region: RegionId,
+    /// Regions of all failure domains.
+    pub domains: BTreeMap<DomainId, RegionId>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where readiness is asked.
+    pub readiness: SocketAddr,
+    /// Where callers ask for entry VMs.
+    pub look_ups: SocketAddr,
+    /// Where other entry VMs send datagrams and requests.
+    pub peers: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// Peer addresses of some entry VMs, for a start without the platform.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between SIGTERM and SIGKILL.
+    pub grace_period: Duration,
+    /// Longest time for which callers may keep the answer to a look-up.
+    pub look_up_lifetime: Duration,
+    /// Sends beyond the first that all regions together may make in a window, as a share of first
+    /// sends.
+    pub retry_ratio: f64,
+    /// Sends beyond the first that all regions together may make without traffic.
+    pub retry_slack: f64,
+    /// Window of the retry budget.
+    pub retry_window: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Settings {
+            id: "entry".into(),
+            domain: "domain".into(),
+            region: "region".into(),
+            domains: BTreeMap::new(),
+            callers: any,
+            readiness: any,
+            look_ups: any,
+            peers: any,
+            metrics: any,
+            seeds: Vec::new(),
+            grace_period: Duration::from_secs(6),
+            look_up_lifetime: Duration::from_secs(2),
+            retry_ratio: 0.2,
+            retry_slack: 0.0,
+            retry_window: Duration::from_secs(10),
+        }
+    }
+}
+
+impl Settings {
+    /// Returns the region of a failure domain.
+    pub fn region_of(&self, domain: &str) -> Option<&RegionId> {
+        self.domains.get(domain)
+    }
+
+    /// Returns the number of regions.
+    pub fn regions(&self) -> usize {
+        let mut regions: Vec<&RegionId> = self.domains.values().collect();
+        regions.sort();
+        regions.dedup();
+        regions.len().max(1)
+    }
+}
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -2,10 +2,12 @@
 
 mod clock;
 mod executor;
+pub mod logger;
 pub mod recorder;
 pub mod signals;
 mod timer;
 
+pub use async_executor::Task;
 pub use clock::Clock;
 pub use executor::{block_on, spawn, timeout};
 pub use timer::{TimerService, sleep};
