Hedge slow attempts, refuse grants of leaving servers, detect silent connections

Changed: a slow attempt stays while a second one runs; the entry VM that asks returns slots of servers that it knows to be leaving; keepers that hear from the store are preferred; TCP keep-alive; SIGHUP reloads.

--- a/components/dispatch/src/health.rs
+++ b/components/dispatch/src/health.rs
@@ -14,6 +14,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 /// Longest time without requests.
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+/// Time without requests after another entry VM has said that the server is leaving.
+const LEAVING_PAUSE: Duration = Duration::from_secs(2);
 /// Bounds of the relative latency; the upper one keeps a slow server in use under load.
 const RELATIVE_BOUNDS: (f64, f64) = (0.5, 8.0);
 
@@ -34,6 +36,8 @@
     Cancelled,
     /// The granted slot was not used.
     Unused,
+    /// The server is leaving or evacuated, as the entry VM that asked knows.
+    Leaving,
 }
 
 /// Failure rate, latency and pauses of one server.
@@ -98,6 +102,7 @@
                 self.fail(1.0);
                 self.relative += LATENCY_WEIGHT * (RELATIVE_BOUNDS.1 - self.relative);
             }
+            Outcome::Leaving => self.paused_until = now + LEAVING_PAUSE,
             Outcome::Cancelled | Outcome::Unused => {}
         }
     }
--- a/components/dispatch/src/members.rs
+++ b/components/dispatch/src/members.rs
@@ -42,6 +42,8 @@
     pub peers: SocketAddr,
     /// What it does.
     pub state: State,
+    /// Whether it hears of changes from the platform.
+    pub informed: bool,
 }
 
 /// All known entry VMs.
@@ -74,16 +76,26 @@
         self.others.insert(member.id.clone(), (member, None)).is_none()
     }
 
-    /// Records a heartbeat; returns whether the member is new or has changed.
+    /// Records a heartbeat; returns whether the member is new, has changed or was silent.
     pub fn heard(&mut self, member: Member, now: Duration) -> bool {
         if member.id == self.own.id {
             return false;
         }
-        let was_usable = self.usable(&member.id, now);
-        let old = self
-            .others
-            .insert(member.id.clone(), (member.clone(), Some(now)));
-        !was_usable || old.is_none_or(|(m, _)| m != member)
+        let silence = self.silence(&member);
+        let new = (member, Some(now));
+        match self.others.insert(new.0.id.clone(), new.clone()) {
+            Some((old, Some(at))) => old != new.0 || at + silence <= now,
+            Some((_, None)) | None => true,
+        }
+    }
+
+    /// Time of silence after which a member is not used.
+    fn silence(&self, member: &Member) -> Duration {
+        if member.region == self.own.region {
+            NEAR_SILENCE
+        } else {
+            FAR_SILENCE
+        }
     }
 
     /// Forgets members that have been silent for long.
@@ -108,12 +120,7 @@
             return self.own.state == State::Ready;
         }
         self.others.get(id).is_some_and(|(m, heard)| {
-            let silence = if m.region == self.own.region {
-                NEAR_SILENCE
-            } else {
-                FAR_SILENCE
-            };
-            m.state == State::Ready && heard.is_some_and(|at| at + silence > now)
+            m.state == State::Ready && heard.is_some_and(|at| at + self.silence(m) > now)
         })
     }
 
@@ -135,10 +142,11 @@
     ///
     /// All members that see the same serving members choose the same one.
     pub fn keeper(&self, service: &str, region: &str, now: Duration) -> Option<&Member> {
+        // A member that does not hear of changes would choose servers that are leaving.
         self.serving(now)
             .into_iter()
             .filter(|m| &*m.region == region)
-            .max_by_key(|m| rendezvous(service, &m.id))
+            .max_by_key(|m| (m.informed, rendezvous(service, &m.id)))
     }
 }
 
--- a/components/dispatch/src/pool.rs
+++ b/components/dispatch/src/pool.rs
@@ -63,6 +63,8 @@
     pub rank: u8,
     /// Whether the request was sent to a server before.
     pub repeat: bool,
+    /// Whether it takes only a slot that nothing else waits for, and does not wait itself.
+    pub spare: bool,
     /// Hash of the object that it concerns, if servers answer faster for known objects.
     pub object: Option<u64>,
     /// Servers that it must not be sent to.
@@ -158,6 +160,8 @@
     held: HashMap<AskId, Held>,
     /// Ended requests, oldest first.
     ended: VecDeque<AskId>,
+    /// Servers that were removed, oldest first.
+    removed: VecDeque<ServerId>,
     /// Sends of requests that were not sent before.
     first_sends: Window,
     /// Sends of requests that were sent before.
@@ -184,6 +188,7 @@
             queue: Queue::default(),
             held: HashMap::new(),
             ended: VecDeque::new(),
+            removed: VecDeque::new(),
             usual: None,
             remotes: BTreeMap::new(),
             kept_since: Duration::ZERO,
@@ -205,6 +210,7 @@
 
     /// Adds a server or takes over its newer description.
     pub fn put_server(&mut self, server: Server, now: Duration) {
+        self.removed.retain(|r| *r != server.id);
         match self.servers.get_mut(&server.id) {
             Some(known) => known.update(server, now, &self.cfg),
             None => {
@@ -215,7 +221,21 @@
 
     /// Removes a server.
     pub fn remove_server(&mut self, id: &str) {
-        self.servers.remove(id);
+        if self.servers.remove(id).is_some() {
+            if self.removed.len() >= REMEMBERED {
+                self.removed.pop_front();
+            }
+            self.removed.push_back(id.into());
+        }
+    }
+
+    /// Tells whether a server may get requests, as far as discovery says. Servers that are not
+    /// known yet may: another entry VM can have heard of them first.
+    pub fn permits(&self, id: &str) -> bool {
+        self.servers.get(id).map_or_else(
+            || !self.removed.iter().any(|r| &**r == id),
+            |s| s.server.ready && !s.evacuated,
+        )
     }
 
     /// Sets the failure domains whose servers get nothing. Their servers count as cold afterwards.
@@ -274,6 +294,10 @@
                 server.become_cold(now, &self.cfg);
             }
         }
+        if outcome == Outcome::Leaving {
+            // The request comes again under the same id.
+            self.forget_end(id);
+        }
         if let Outcome::Answered(latency) = outcome {
             let latency = latency.min(usual.mul_f64(STRAGGLER)).as_secs_f64();
             let mean = usual.as_secs_f64();
@@ -513,7 +537,9 @@
     ) -> Option<(AskId, Decision)> {
         let ask = &waiting.ask;
         let total = ask.deadline_left + ask.waited;
-        let patience = if overloaded {
+        let patience = if ask.spare {
+            Duration::ZERO
+        } else if overloaded {
             let target = ask.target_left + ask.waited;
             target.mul_f64(self.cfg.overload_wait).max(total.mul_f64(0.03))
         } else {
--- a/components/dispatch/src/queue.rs
+++ b/components/dispatch/src/queue.rs
@@ -80,7 +80,7 @@
             } else {
                 w.target_at()
             };
-            (w.ask.rank, late, order)
+            (w.ask.spare, w.ask.rank, late, order)
         });
     }
 
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -35,6 +35,8 @@
     pub rank: u8,
     /// Whether it was sent to a server before.
     pub repeat: bool,
+    /// Whether it takes only a slot that nothing else waits for, and does not wait itself.
+    pub spare: bool,
     /// Hash of the object that it concerns.
     pub object: Option<u64>,
     /// Servers that it must not be sent to.
@@ -88,6 +90,11 @@
         self.with(|inner, now| inner.set_state(state, now));
     }
 
+    /// Sets whether this entry VM hears of changes from the platform.
+    pub fn set_informed(&self, informed: bool) {
+        self.with(|inner, now| inner.set_informed(informed, now));
+    }
+
     /// Returns the state.
     pub fn state(&self) -> State {
         self.lock().members.own.state
@@ -178,6 +185,18 @@
         }
     }
 
+    /// Returns the nearest of the regions that has an entry VM, and the address of the one that
+    /// keeps the pool of `service`.
+    pub fn nearest(&self, service: &str, regions: &[RegionId]) -> Option<(RegionId, SocketAddr)> {
+        let inner = self.lock();
+        let now = self.now();
+        regions
+            .iter()
+            .filter_map(|r| Some((r, inner.members.keeper(service, r, now)?.peers)))
+            .min_by_key(|(r, _)| inner.round_trips.get(*r).copied())
+            .map(|(r, peer)| (r.clone(), peer))
+    }
+
     /// Ends a request; `number` is unknown if it has ended already.
     fn end(&self, number: u64, outcome: Outcome, load: Option<dispatch::Load>) {
         self.with(|inner, now| inner.close(number, outcome, load, now));
--- a/components/gateway/src/dispatcher/inner.rs
+++ b/components/gateway/src/dispatcher/inner.rs
@@ -112,6 +112,14 @@
         self.follow_keepers(now);
     }
 
+    pub fn set_informed(&mut self, informed: bool, now: Duration) {
+        if self.members.own.informed != informed {
+            self.members.own.informed = informed;
+            self.heartbeat(true, true, now);
+            self.follow_keepers(now);
+        }
+    }
+
     pub fn configure(&mut self, service: &ServiceId, cfg: PoolSettings) {
         self.pool(service).configure(cfg);
     }
@@ -177,6 +185,7 @@
             waited: now.saturating_sub(request.since),
             rank: request.rank,
             repeat: request.repeat,
+            spare: request.spare,
             object: request.object,
             avoid: request.avoid.clone(),
             regions: request.regions.clone(),
@@ -312,8 +321,14 @@
         now: Duration,
     ) {
         let number = id.1;
+        if let Decision::Grant(grant) = &decision
+            && from.is_some()
+            && self.veto(number, grant, now)
+        {
+            return;
+        }
         let Some(pending) = self.pending.remove(&number) else {
-            self.return_grant(id, &decision, from, now);
+            self.return_grant(id, &decision, from);
             return;
         };
         if let Decision::Grant(grant) = &decision {
@@ -333,14 +348,42 @@
         }
     }
 
+    /// Returns a slot of a server that is leaving or evacuated, which the keeper does not know yet,
+    /// and asks again without that server.
+    fn veto(&mut self, number: u64, grant: &Grant, now: Duration) -> bool {
+        let Some(pending) = self.pending.get_mut(&number) else {
+            return false;
+        };
+        let ask = &mut pending.ask;
+        if self.pools.get(&ask.service).is_none_or(|p| p.permits(&grant.server)) {
+            return false;
+        }
+        metrics::counter!("grants_vetoed").increment(1);
+        log::info!("event=grant_vetoed server={} service={}", grant.server, ask.service);
+        ask.avoid.push(grant.server.clone());
+        let (id, service) = (ask.id, ask.service.clone());
+        let address = pending
+            .keeper
+            .as_ref()
+            .and_then(|k| self.members.get(k))
+            .map(|m| m.peers);
+        if let Some(to) = address {
+            self.send(
+                to,
+                Message::End {
+                    id,
+                    service,
+                    outcome: Outcome::Leaving,
+                    load: None,
+                },
+            );
+        }
+        self.place(number, now);
+        true
+    }
+
     /// Gives back a slot that nobody waits for: the request has ended or was granted elsewhere.
-    fn return_grant(
-        &mut self,
-        id: AskId,
-        decision: &Decision,
-        from: Option<EntryVmId>,
-        now: Duration,
-    ) {
+    fn return_grant(&mut self, id: AskId, decision: &Decision, from: Option<EntryVmId>) {
         let Decision::Grant(grant) = decision else {
             return;
         };
--- a/components/gateway/src/http/connection.rs
+++ b/components/gateway/src/http/connection.rs
@@ -32,6 +32,9 @@
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!("event=nodelay_failed error=\"{e}\"");
         }
+        if let Err(e) = runtime::keep_alive(&stream) {
+            log::debug!("event=keep_alive_failed error=\"{e}\"");
+        }
         Connection {
             stream,
             buf: Vec::new(),
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -59,6 +59,7 @@
         callers: settings.callers,
         peers: settings.peers,
         state: State::Starting,
+        informed: false,
     };
     log::info!(
         "event=start id={} incarnation={:x} domain={} region={} callers={} version={}",
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -127,6 +127,11 @@
         self.dispatcher.remove_server(id);
     }
 
+    /// Sets whether changes of servers and routes are heard from the platform.
+    pub fn set_informed(&self, informed: bool) {
+        self.dispatcher.set_informed(informed);
+    }
+
     /// Records that the list of servers is complete.
     pub fn servers_listed(&self) {
         if !self.servers_known.swap(true, Ordering::Relaxed) {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -218,18 +218,44 @@
 }
 
 async fn admit(node: &Arc<Node>, req: &Request, plan: &Plan, tried: &Tried) -> Admission {
+    if !plan.route.allows_region(&node.settings.region) {
+        return admit_at_home(node, req, plan, tried);
+    }
     let request = SlotRequest {
+        repeat: tried.sends > 0,
+        avoid: tried.avoid.clone(),
+        regions: regions(node, req, plan, tried),
+        ..slot_request(plan)
+    };
+    node.dispatcher.admit(request).await
+}
+
+/// A request for a first slot in this region.
+fn slot_request(plan: &Plan) -> SlotRequest {
+    SlotRequest {
         service: plan.service.clone(),
         target_at: plan.target_at,
         deadline_at: plan.give_up_at,
         since: plan.since,
         rank: plan.route.rank,
-        repeat: tried.sends > 0,
+        repeat: false,
+        spare: false,
         object: plan.object,
-        avoid: tried.avoid.clone(),
-        regions: regions(node, req, plan, tried),
-    };
-    node.dispatcher.admit(request).await
+        avoid: SmallVec::new(),
+        regions: SmallVec::new(),
+    }
+}
+
+/// Passes a request that must not be handled in this region on to the nearest that may.
+fn admit_at_home(node: &Node, req: &Request, plan: &Plan, tried: &Tried) -> Admission {
+    let homes = regions(node, req, plan, tried);
+    node.dispatcher.nearest(&plan.service, &homes).map_or(
+        Admission::Refused {
+            reason: RefuseReason::NoServers,
+            retry_after: SHORT_RETRY,
+        },
+        |(region, peer)| Admission::Forward(region, peer),
+    )
 }
 
 /// Regions to which the request may be passed on.
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -1,16 +1,21 @@
 //! One attempt: at a server, or by way of an entry VM of another region.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use dispatch::Outcome;
+use futures_lite::FutureExt;
+use futures_lite::future::pending;
+use smallvec::SmallVec;
 
 use super::trace::Trace;
 use super::{MAX_UNREACHABLE, Plan, Request, SHORT_RETRY, TARGET_HEADER, Tried, WAITED_HEADER};
 use crate::answer::{Answer, Rest};
 use crate::codes::{Code, NOT_RUN, OUTCOME_HEADER};
-use crate::dispatcher::Slot;
+use crate::dispatcher::{Admission, Request as SlotRequest, Slot};
 use crate::exchange::{Failure, Outgoing, Received, exchange};
 use crate::http::is_hop_by_hop;
 use crate::node::Node;
@@ -22,10 +27,9 @@
 /// Longest idle time of a connection on which a binding request is sent. A server that closes the
 /// connection meanwhile would leave its outcome unknown.
 const BINDING_IDLE: Duration = Duration::from_secs(1);
-/// Multiple of the usual service time after which an idempotent request goes to another server.
-const SILENCE_FACTOR: f64 = 3.5;
-/// Shortest such time.
-const SHORTEST_SILENCE: Duration = Duration::from_millis(400);
+/// Multiple of the usual service time after which an idempotent request is also sent to another
+/// server.
+const SLOW_FACTOR: f64 = 2.5;
 
 /// What follows an attempt.
 pub(super) enum Step {
@@ -41,39 +45,145 @@
     }
 }
 
-/// Sends the request to the server of `slot`.
+/// An attempt at a server that has ended.
+struct Finished {
+    slot: Slot,
+    /// `None` if the time was up.
+    result: Option<Result<Received, Failure>>,
+    took: Duration,
+}
+
+impl Finished {
+    /// Tells whether the answer is a server's and no error.
+    fn is_good(&self) -> bool {
+        matches!(&self.result, Some(Ok(r)) if r.head.status < 500)
+    }
+}
+
+/// Sends the request to the server of `slot`, and to a second one if the first is slow.
 pub(super) async fn send_to_server(
     node: &Arc<Node>,
     req: &Request,
     plan: &Plan,
     tried: &mut Tried,
-    mut slot: Slot,
+    slot: Slot,
     trace: &mut Trace,
 ) -> Step {
-    let now = node.now();
-    let left = plan.give_up_at.saturating_sub(now);
+    let left = plan.give_up_at.saturating_sub(node.now());
     if left < Duration::from_millis(1) {
         return Step::done(super::out_of_time(std::mem::take(tried)));
     }
-    let server = slot.grant.server.clone();
-    tried.avoid.push(server.clone());
-    let binding = plan.route.binding;
-    let names = &node.dialect.headers;
+    tried.avoid.push(slot.grant.server.clone());
+    let again = !plan.route.binding && tried.sends + 1 < plan.route.max_attempts;
+    let slow_after = slow_after(node, plan, again, left);
+    let first = attempt(node, req, plan, slot, slow_after);
+    let finished = if slow_after < left {
+        hedged(node, req, plan, tried, first, slow_after, trace).await
+    } else {
+        first.await
+    };
+    conclude(node, req, plan, tried, finished, trace)
+}
+
+/// Waits for the first attempt; once it is slow, a second one is made beside it if a server has a
+/// spare slot. The first good answer is taken and the other attempt is cancelled.
+async fn hedged(
+    node: &Arc<Node>,
+    req: &Request,
+    plan: &Plan,
+    tried: &mut Tried,
+    first: impl Future<Output = Finished>,
+    slow_after: Duration,
+    trace: &mut Trace,
+) -> Finished {
+    let sent_second = AtomicBool::new(false);
+    let avoid = tried.avoid.clone();
+    let second = async {
+        runtime::sleep(slow_after).await;
+        let request = SlotRequest {
+            repeat: true,
+            spare: true,
+            avoid,
+            regions: SmallVec::new(),
+            ..super::slot_request(plan)
+        };
+        let Admission::Slot(slot) = node.dispatcher.admit(request).await else {
+            return pending().await;
+        };
+        sent_second.store(true, Ordering::Relaxed);
+        metrics::counter!("hedges").increment(1);
+        attempt(node, req, plan, slot, Duration::MAX).await
+    };
+    let (mut first, mut second) = (pin!(first), pin!(second));
+    let either = async { (true, (&mut first).await) }
+        .or(async { (false, (&mut second).await) })
+        .await;
+    let (was_first, finished) = either;
+    let sent_second = sent_second.load(Ordering::Relaxed);
+    if sent_second {
+        tried.sends += 1;
+    }
+    if finished.is_good() || !sent_second {
+        return finished;
+    }
+    trace.attempt(&finished.slot.grant.server, "hedge_failed", finished.took);
+    drop(finished);
+    if was_first { second.await } else { first.await }
+}
+
+/// Sends the request to one server.
+async fn attempt(
+    node: &Arc<Node>,
+    req: &Request,
+    plan: &Plan,
+    mut slot: Slot,
+    slow_after: Duration,
+) -> Finished {
+    let start = node.now();
+    let left = plan.give_up_at.saturating_sub(start);
     let outgoing = Outgoing {
         address: slot.grant.address,
         method: &req.head.method,
         id: &plan.id,
-        bytes: encode(node, req, plan, Some(&server), left),
+        bytes: encode(node, req, plan, Some(&slot.grant.server), left),
         connect_limit: CONNECT_LIMIT.min(left),
-        idle_limit: if binding { BINDING_IDLE } else { Duration::MAX },
+        idle_limit: if plan.route.binding {
+            BINDING_IDLE
+        } else {
+            Duration::MAX
+        },
         signed: true,
     };
-    let again = !binding && tried.sends + 1 < plan.route.max_attempts;
-    let limit = silence_limit(node, plan, again, left);
     // If the caller leaves, this future is dropped and the slot reports this outcome.
     slot.set_outcome(Outcome::Cancelled);
-    let result = runtime::timeout(limit, exchange(&outgoing, names, &node.idle, || node.now())).await;
-    let took = node.now().saturating_sub(now);
+    let names = &node.dialect.headers;
+    let mut exchange = pin!(exchange(&outgoing, names, &node.idle, || node.now()));
+    let mut result = runtime::timeout(slow_after.min(left), &mut exchange).await;
+    if result.is_none() && slow_after < left {
+        slot.set_outcome(Outcome::Silent);
+        result = runtime::timeout(left.saturating_sub(slow_after), exchange).await;
+    }
+    let took = node.now().saturating_sub(start);
+    Finished { slot, result, took }
+}
+
+/// Reports the outcome of an attempt and decides what follows.
+fn conclude(
+    node: &Node,
+    req: &Request,
+    plan: &Plan,
+    tried: &mut Tried,
+    finished: Finished,
+    trace: &mut Trace,
+) -> Step {
+    let Finished {
+        mut slot,
+        result,
+        took,
+    } = finished;
+    let names = &node.dialect.headers;
+    let server = slot.grant.server.clone();
+    let again = !plan.route.binding && tried.sends + 1 < plan.route.max_attempts;
     match result {
         Some(Ok(received)) => {
             let load = received.head.get(names.load);
@@ -91,10 +201,13 @@
             trace.failed(&server, "unreachable", &e.to_string(), took);
             slot.set_outcome(Outcome::Unreachable);
             tried.unreachable += 1;
-            if tried.unreachable >= MAX_UNREACHABLE {
-                return Step::done(Answer::own(Code::Refused, Some(SHORT_RETRY)));
+            if tried.unreachable < MAX_UNREACHABLE {
+                return Step::Again;
             }
-            Step::Again
+            if tried.may_have_run {
+                return Step::done(Answer::own(Code::AnswerLost, None));
+            }
+            Step::done(Answer::own(Code::Refused, Some(SHORT_RETRY)))
         }
         Some(Err(Failure::Lost(e))) => {
             trace.failed(&server, "lost", &e.to_string(), took);
@@ -104,17 +217,19 @@
         None => {
             trace.attempt(&server, "silent", took);
             slot.set_outcome(Outcome::Silent);
-            lost(tried, again, Code::Timeout)
+            lost(tried, false, Code::Timeout)
         }
     }
 }
 
-fn silence_limit(node: &Node, plan: &Plan, again: bool, left: Duration) -> Duration {
+/// Time after which an attempt counts as slow; all of `left` if there is no time or no attempt
+/// left for another server.
+fn slow_after(node: &Node, plan: &Plan, again: bool, left: Duration) -> Duration {
     let Some(usual) = node.dispatcher.usual(&plan.service).filter(|_| again) else {
         return left;
     };
-    let silence = usual.mul_f64(SILENCE_FACTOR).max(SHORTEST_SILENCE);
-    if silence + usual < left { silence } else { left }
+    let slow = usual.mul_f64(SLOW_FACTOR);
+    if slow + usual < left { slow } else { left }
 }
 
 fn lost(tried: &mut Tried, again: bool, code: Code) -> Step {
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -62,6 +62,7 @@
             .await
             .change_context(Error::Connect)?;
         tcp.set_nodelay(true).change_context(Error::Connect)?;
+        runtime::keep_alive(&tcp).change_context(Error::Connect)?;
         Ok(tcp)
     };
     within(limit, open)
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod clock;
 mod executor;
+mod keep_alive;
 pub mod logger;
 pub mod recorder;
 pub mod signals;
@@ -9,5 +10,6 @@
 
 pub use async_executor::Task;
 pub use clock::Clock;
+pub use keep_alive::keep_alive;
 pub use executor::{block_on, spawn, timeout};
 pub use timer::{TimerService, sleep};
--- a/components/runtime/src/signals.rs
+++ b/components/runtime/src/signals.rs
@@ -1,9 +1,9 @@
-//! Termination signals.
+//! Signals to the process.
 
 use std::thread;
 
 use async_channel::Receiver;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 /// Returns a channel that closes at the first SIGTERM or SIGINT.
@@ -20,3 +20,20 @@
         })?;
     Ok(rx)
 }
+
+/// Returns a channel that gets a message after each SIGHUP.
+pub fn reloads() -> std::io::Result<Receiver<()>> {
+    let mut signals = Signals::new([SIGHUP])?;
+    let (tx, rx) = async_channel::bounded::<()>(1);
+    thread::Builder::new()
+        .name("reload-signals".to_owned())
+        .spawn(move || {
+            for _ in signals.forever() {
+                // A full channel means that a reload is due already.
+                if tx.try_send(()).is_err_and(|e| e.is_closed()) {
+                    return;
+                }
+            }
+        })?;
+    Ok(rx)
+}
