Limit how fast the requests of a region move to other regions

Changed: the keeper of a pool compares the share of each other region in the last two seconds with that of the two seconds before, and keeps or forwards requests so that it changes by 0.9 of the allowed shift at most; not after servers came or went.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 mod routes;
 mod server;
 mod settings;
+mod shift;
 mod window;
 
 pub use health::Outcome;
--- a/components/dispatch/src/pool.rs
+++ b/components/dispatch/src/pool.rs
@@ -15,6 +15,7 @@
 use crate::queue::{Queue, Waiting};
 use crate::server::{Load, Server, Tracked};
 use crate::settings::PoolSettings;
+use crate::shift::ShiftLimiter;
 use crate::window::Window;
 
 /// Time without requests after which a pool counts as taken over anew.
@@ -169,6 +170,10 @@
     /// Usual service time.
     usual: Option<Duration>,
     remotes: BTreeMap<RegionId, Remote>,
+    /// Limits how fast requests move between regions.
+    shift: ShiftLimiter,
+    /// Slots of the servers in use at the last decision.
+    last_capacity: u32,
     /// When the pool was taken over.
     kept_since: Duration,
     /// Last request.
@@ -183,6 +188,7 @@
         Pool {
             first_sends: Window::new(cfg.retry_window),
             repeats: Window::new(cfg.retry_window),
+            shift: ShiftLimiter::new(cfg.max_shift),
             cfg,
             servers: BTreeMap::new(),
             queue: Queue::default(),
@@ -190,6 +196,7 @@
             ended: VecDeque::new(),
             removed: VecDeque::new(),
             usual: None,
+            last_capacity: 0,
             remotes: BTreeMap::new(),
             kept_since: Duration::ZERO,
             last_ask: None,
@@ -199,6 +206,7 @@
 
     /// Changes the settings.
     pub fn configure(&mut self, cfg: PoolSettings) {
+        self.shift.set_limit(cfg.max_shift);
         self.cfg = cfg;
     }
 
@@ -398,8 +406,14 @@
         let usual = self.usual_or(first);
         let mut queue = std::mem::take(&mut self.queue);
         queue.sort(usual, now);
-        let mut decisions = queue.take(|_, w| self.grant(w, now));
         let capacity = self.capacity(now);
+        if capacity != self.last_capacity {
+            self.last_capacity = capacity;
+            self.shift.lift(now);
+        }
+        let mut decisions = queue.take(|_, w| {
+            self.keep_away(w, now).or_else(|| self.grant(w, now))
+        });
         decisions.extend(queue.take(|position, w| self.forward(w, position, capacity, now)));
         let overloaded = queue.standing(now) > self.cfg.standing_queue;
         let length = queue.len();
@@ -471,6 +485,9 @@
             .min_by(|a, b| a.0.total_cmp(&b.0))?
             .1;
         best.admit(now, ask.object, cfg);
+        if !ask.regions.is_empty() {
+            self.shift.record(None, now);
+        }
         let grant = Grant {
             server: best.server.id.clone(),
             address: best.server.address,
@@ -496,6 +513,21 @@
         (self.repeats.count(now) as f64) + 1.0 <= allowed
     }
 
+    /// Passes a request on although it could run here, where too many would come back at once.
+    fn keep_away(&mut self, waiting: &Waiting, now: Duration) -> Option<(AskId, Decision)> {
+        let ask = &waiting.ask;
+        let shift = &self.shift;
+        let (region, remote) = self.remotes.iter_mut().find(|(region, r)| {
+            ask.regions.contains(region)
+                && r.at + REMOTE_LIFETIME > now
+                && r.snapshot.free > 0
+                && shift.must_leave(region, now)
+        })?;
+        remote.forwarded.record(now);
+        self.shift.record(Some(region), now);
+        Some((ask.id, Decision::Forward(region.clone())))
+    }
+
     fn forward(
         &mut self,
         waiting: &Waiting,
@@ -510,6 +542,7 @@
             usual.mul_f64((position + 1) as f64 / f64::from(capacity))
         };
         let wait = wait.max(now.saturating_sub(waiting.since));
+        let shift = &self.shift;
         let (region, remote) = self
             .remotes
             .iter_mut()
@@ -518,12 +551,14 @@
                 let sent = r.forwarded.count(now) as u32;
                 let left = r.snapshot.free.saturating_sub(sent);
                 let fresh = r.at + REMOTE_LIFETIME > now;
-                let worth_it = wait >= r.round_trip.mul_f64(FORWARD_WAIT);
+                let worth_it = shift.may_leave(region, now)
+                    && wait >= r.round_trip.mul_f64(FORWARD_WAIT);
                 (fresh && left > 0 && worth_it).then_some((left, region, r))
             })
             .max_by_key(|(left, ..)| *left)
             .map(|(_, region, r)| (region, r))?;
         remote.forwarded.record(now);
+        self.shift.record(Some(region), now);
         Some((waiting.ask.id, Decision::Forward(region.clone())))
     }
 
--- a/components/dispatch/src/settings.rs
+++ b/components/dispatch/src/settings.rs
@@ -15,6 +15,8 @@
     pub retry_allowance: f64,
     /// Window of the retry budget.
     pub retry_window: Duration,
+    /// Largest change of another region's share of the requests within two seconds.
+    pub max_shift: f64,
     /// Time of a queue that never empties after which the service counts as overloaded.
     pub standing_queue: Duration,
     /// Share of the target latency for which a request waits under overload.
@@ -42,6 +44,7 @@
             retry_ratio: 0.15,
             retry_allowance: 10.0,
             retry_window: Duration::from_secs(10),
+            max_shift: 1.0,
             standing_queue: Duration::from_millis(500),
             // Requests that are refused within an eighth of their target cost nothing.
             overload_wait: 0.125,
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -19,6 +19,8 @@
 /// Part of the platform's rate that is admitted to a cold server. The platform allows 1.5 times the
 /// rate and a slack, which covers two keepers at the same time.
 const COLD_SHARE: f64 = 0.8;
+/// Part of the allowed shift that is used; the rest covers windows that start at other moments.
+const SHIFT_SHARE: f64 = 0.9;
 /// Share of the platform's retry budget that is used; the rest covers requests that are counted in
 /// different windows and pools that are kept twice.
 const RETRY_SHARE: f64 = 0.7;
@@ -108,6 +110,7 @@
             let cfg = PoolSettings {
                 cold_per_s: (service.cold_per_s * COLD_SHARE).max(1.0),
                 cold_start: service.cold_start,
+                max_shift: self.settings.max_shift * SHIFT_SHARE,
                 retry_ratio: self.settings.retry_ratio * RETRY_SHARE,
                 retry_allowance: self.settings.retry_slack * RETRY_SHARE / regions,
                 retry_window: self.settings.retry_window,
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -33,6 +33,8 @@
     pub grace_period: Duration,
     /// Longest time for which callers may keep the answer to a look-up.
     pub look_up_lifetime: Duration,
+    /// Largest change of another region's share of the requests within two seconds.
+    pub max_shift: f64,
     /// Sends beyond the first that all regions together may make in a window, as a share of first
     /// sends.
     pub retry_ratio: f64,
@@ -58,6 +60,7 @@
             seeds: Vec::new(),
             grace_period: Duration::from_secs(6),
             look_up_lifetime: Duration::from_secs(2),
+            max_shift: 0.15,
             retry_ratio: 0.2,
             retry_slack: 0.0,
             retry_window: Duration::from_secs(10),
