Place objects on few servers and wait for servers that hold them warm

A third of the requests met a server without their object. Ruled out: a limit in time (after 4 to 8 s half of the requests for a busy service were slow, but hardly any for a service with few requests).

Changed: objects have an order of servers that all entry VMs share; the pool tracks the last objects of each server and learns how many it keeps; a request waits briefly for a busy server that is warm.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod server;
 mod settings;
 mod shift;
+mod warmth;
 mod window;
 
 pub use health::Outcome;
--- a/components/dispatch/src/pool.rs
+++ b/components/dispatch/src/pool.rs
@@ -16,6 +16,7 @@
 use crate::server::{Load, Server, Tracked};
 use crate::settings::PoolSettings;
 use crate::shift::ShiftLimiter;
+use crate::warmth::Warmth;
 use crate::window::Window;
 
 /// Time without requests after which a pool counts as taken over anew.
@@ -33,10 +34,8 @@
 const FORWARD_WAIT: f64 = 0.5;
 /// Ended requests that are remembered, to ignore repeated messages about them.
 const REMEMBERED: usize = 1024;
-/// Weight of the newest latency in the usual service time.
-const USUAL_WEIGHT: f64 = 0.05;
-/// Latencies above this multiple of the usual service time count as this multiple.
-const STRAGGLER: f64 = 2.5;
+/// Weight of an object's order of servers against their speed.
+const ORDER_WEIGHT: f64 = 0.5;
 /// Shortest time after which a refused caller is asked to come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(100);
 /// Longest time after which a refused caller is asked to come back.
@@ -138,6 +137,10 @@
     grant: Grant,
     /// When the grant counts as ended.
     expires: Duration,
+    /// Whether the request concerns an object.
+    sticky: bool,
+    /// Objects that the server handled since the last request for this one.
+    depth: Option<usize>,
 }
 
 /// What is known of the pool of another region.
@@ -167,8 +170,8 @@
     first_sends: Window,
     /// Sends of requests that were sent before.
     repeats: Window,
-    /// Usual service time.
-    usual: Option<Duration>,
+    /// Service times, and what servers hold warm.
+    warmth: Warmth,
     remotes: BTreeMap<RegionId, Remote>,
     /// Limits how fast requests move between regions.
     shift: ShiftLimiter,
@@ -195,7 +198,7 @@
             held: HashMap::new(),
             ended: VecDeque::new(),
             removed: VecDeque::new(),
-            usual: None,
+            warmth: Warmth::default(),
             last_capacity: 0,
             remotes: BTreeMap::new(),
             kept_since: Duration::ZERO,
@@ -281,7 +284,13 @@
             server.in_flight += 1;
         }
         let expires = now + left + GRANT_SLACK;
-        self.held.insert(id, Held { grant, expires });
+        let held = Held {
+            grant,
+            expires,
+            sticky: false,
+            depth: None,
+        };
+        self.held.insert(id, held);
     }
 
     /// Ends a request, whether it waits or runs.
@@ -290,10 +299,11 @@
         let Some(held) = self.release(id) else {
             return;
         };
-        let usual = self.usual_or(Duration::from_millis(200));
+        let warm = held.sticky && self.warmth.is_warm(held.depth);
+        let expected = self.warmth.expected(warm);
         if let Some(server) = self.servers.get_mut(&held.grant.server) {
             let was_missing = server.health.missing();
-            server.health.record(outcome, usual, now);
+            server.health.record(outcome, expected, now);
             if let Some(load) = load {
                 server.report(load, now);
             }
@@ -307,10 +317,7 @@
             self.forget_end(id);
         }
         if let Outcome::Answered(latency) = outcome {
-            let latency = latency.min(usual.mul_f64(STRAGGLER)).as_secs_f64();
-            let mean = usual.as_secs_f64();
-            let mean = mean + USUAL_WEIGHT * (latency - mean);
-            self.usual = Some(Duration::from_secs_f64(mean));
+            self.warmth.learn(held.sticky, held.depth, latency);
         }
     }
 
@@ -388,7 +395,7 @@
 
     /// Usual service time, once known.
     pub fn usual(&self) -> Option<Duration> {
-        self.usual
+        self.warmth.usual()
     }
 
     /// Returns the grant of a request that runs, for a repeated ask.
@@ -402,8 +409,7 @@
         if self.queue.is_empty() {
             return Vec::new();
         }
-        let first = Duration::from_millis(200);
-        let usual = self.usual_or(first);
+        let usual = self.usual_or_first();
         let mut queue = std::mem::take(&mut self.queue);
         queue.sort(usual, now);
         let capacity = self.capacity(now);
@@ -422,8 +428,8 @@
         decisions
     }
 
-    fn usual_or(&self, first: Duration) -> Duration {
-        self.usual.unwrap_or(first)
+    fn usual_or_first(&self) -> Duration {
+        self.warmth.usual().unwrap_or(self.warmth.expected(false))
     }
 
     fn release(&mut self, id: AskId) -> Option<Held> {
@@ -467,9 +473,8 @@
             return Some((ask.id, Decision::Refuse { reason, retry_after }));
         }
         let no_cold = self.isolated || now < self.kept_since + TAKEOVER;
-        let usual = self.usual_or(Duration::from_millis(200)).as_secs_f64().max(0.001);
-        let cross = self.cfg.cross_domain_cost.as_secs_f64() / usual;
         let cfg = &self.cfg;
+        let warmth = &self.warmth;
         let best = self
             .servers
             .values_mut()
@@ -477,14 +482,22 @@
             .filter_map(|s| {
                 let free = s.usable(now, cfg) && !(no_cold && s.cold(now));
                 free.then(|| {
-                    let far = if s.server.domain == ask.domain { 0.0 } else { cross };
-                    let fill = f64::from(s.in_flight) / f64::from(s.server.slots.max(1));
-                    (s.cost(now, ask.object, cfg) + far + 0.05 * fill, s)
+                    let warm = ask.object.is_some_and(|o| warmth.is_warm(s.recent.depth(o)));
+                    let factor = s.slowness(now, cfg) * (1.0 + ORDER_WEIGHT * s.order(ask.object));
+                    let mut time = warmth.expected(warm).mul_f64(factor);
+                    if s.server.domain != ask.domain {
+                        time += cfg.cross_domain_cost;
+                    }
+                    (time, warm, s.server.id.clone())
                 })
             })
-            .min_by(|a, b| a.0.total_cmp(&b.0))?
-            .1;
-        best.admit(now, ask.object, cfg);
+            .min_by_key(|(time, ..)| *time);
+        let (_, warm, id) = best?;
+        if ask.object.is_some() && !warm && self.worth_waiting(waiting, now) {
+            return None;
+        }
+        let best = self.servers.get_mut(&id)?;
+        let depth = best.admit(now, ask.object);
         if !ask.regions.is_empty() {
             self.shift.record(None, now);
         }
@@ -502,11 +515,29 @@
         let held = Held {
             grant: grant.clone(),
             expires,
+            sticky: ask.object.is_some(),
+            depth,
         };
         self.held.insert(ask.id, held);
         Some((ask.id, Decision::Grant(grant)))
     }
 
+    /// Tells whether a request is better off waiting for a busy server that holds its object warm
+    /// than running without warm data.
+    fn worth_waiting(&self, waiting: &Waiting, now: Duration) -> bool {
+        let ask = &waiting.ask;
+        let saved = self.warmth.expected(false).saturating_sub(self.warmth.expected(true));
+        if now.saturating_sub(waiting.since) >= saved.mul_f64(self.cfg.warm_wait) {
+            return false;
+        }
+        self.servers.values().any(|s| {
+            let warm = ask.object.is_some_and(|o| self.warmth.is_warm(s.recent.depth(o)));
+            warm && s.in_use(now)
+                && s.in_flight >= s.server.slots
+                && !ask.avoid.contains(&s.server.id)
+        })
+    }
+
     fn may_repeat(&mut self, now: Duration) -> bool {
         let allowed = self.cfg.retry_ratio * self.first_sends.count(now) as f64
             + self.cfg.retry_allowance;
@@ -535,7 +566,7 @@
         capacity: u32,
         now: Duration,
     ) -> Option<(AskId, Decision)> {
-        let usual = self.usual_or(Duration::from_millis(200));
+        let usual = self.usual_or_first();
         let wait = if capacity == 0 {
             Duration::MAX
         } else {
@@ -583,7 +614,7 @@
         if waiting.waited(now) < patience {
             return None;
         }
-        let usual = self.usual_or(Duration::from_millis(200));
+        let usual = self.usual_or_first();
         let drain = usual.mul_f64(length as f64 / f64::from(capacity.max(1)));
         let retry_after = drain.clamp(SHORTEST_RETRY, LONGEST_RETRY);
         let reason = if capacity == 0 {
--- a/components/dispatch/src/server.rs
+++ b/components/dispatch/src/server.rs
@@ -1,6 +1,5 @@
 //! A backend server as one pool sees it.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,6 +8,7 @@
 
 use crate::health::Health;
 use crate::settings::PoolSettings;
+use crate::warmth::Recent;
 use crate::window::Window;
 
 /// Time for which the speed reported by a server is used; it changes many times a second.
@@ -66,20 +66,25 @@
     cold_sends: Window,
     /// Reported slowdown in percent, and when.
     speed: Option<(u32, Duration)>,
-    /// Objects handled recently, oldest first.
-    warm: VecDeque<u64>,
+    /// Objects handled recently.
+    pub recent: Recent,
+    /// Hash of the name, for placing objects.
+    hash: u64,
 }
 
 impl Tracked {
     pub fn new(server: Server) -> Self {
+        let mut first = [0; 8];
+        first.copy_from_slice(&blake3::hash(server.id.as_bytes()).as_bytes()[..8]);
         Tracked {
+            hash: u64::from_le_bytes(first),
             server,
             in_flight: 0,
             health: Health::default(),
             evacuated: false,
             cold_sends: Window::new(COLD_WINDOW),
             speed: None,
-            warm: VecDeque::new(),
+            recent: Recent::default(),
         }
     }
 
@@ -94,7 +99,7 @@
         self.server.cold_until = cold_until;
         if restarted {
             self.health = Health::default();
-            self.warm.clear();
+            self.recent.clear();
             self.become_cold(now, cfg);
         }
     }
@@ -103,13 +108,18 @@
     pub fn become_cold(&mut self, now: Duration, cfg: &PoolSettings) {
         let until = now + cfg.cold_start;
         self.server.cold_until = Some(self.server.cold_until.map_or(until, |u| u.max(until)));
-        self.warm.clear();
+        self.recent.clear();
     }
 
     pub fn cold(&self, now: Duration) -> bool {
         self.server.cold_until.is_some_and(|until| now < until)
     }
 
+    /// Tells whether the server would get requests if it had a free slot.
+    pub fn in_use(&self, now: Duration) -> bool {
+        self.server.ready && !self.evacuated && self.health.admits(now, 0)
+    }
+
     /// Tells whether the server may get a request now.
     pub fn usable(&mut self, now: Duration, cfg: &PoolSettings) -> bool {
         self.server.ready
@@ -119,19 +129,23 @@
             && (!self.cold(now) || (self.cold_sends.count(now) as f64) < cfg.cold_per_s)
     }
 
-    /// Counts a request that is sent to the server.
-    pub fn admit(&mut self, now: Duration, object: Option<u64>, cfg: &PoolSettings) {
+    /// Counts a request that is sent to the server; returns the depth of its object before.
+    pub fn admit(&mut self, now: Duration, object: Option<u64>) -> Option<usize> {
         self.in_flight += 1;
         if self.cold(now) {
             self.cold_sends.record(now);
         }
-        if let Some(object) = object {
-            self.warm.retain(|&o| o != object);
-            self.warm.push_back(object);
-            while self.warm.len() > cfg.warm_objects {
-                self.warm.pop_front();
-            }
-        }
+        object.and_then(|o| self.recent.touch(o))
+    }
+
+    /// Place of the server in the order of an object, from 0 for the first to 1. All entry VMs
+    /// see the same order, so that an object stays at few servers.
+    pub fn order(&self, object: Option<u64>) -> f64 {
+        object.map_or(0.5, |o| {
+            let mixed = (o ^ self.hash).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+            (mixed >> 11) as f64 / (1u64 << 53) as f64
+        })
     }
 
     /// Records the load that the server reported.
@@ -141,20 +155,17 @@
         }
     }
 
-    /// Estimates the service time relative to the usual one.
-    pub fn cost(&self, now: Duration, object: Option<u64>, cfg: &PoolSettings) -> f64 {
-        let mut cost = self.health.relative_latency();
+    /// Estimates the service time relative to that of other servers.
+    pub fn slowness(&self, now: Duration, cfg: &PoolSettings) -> f64 {
+        let mut slowness = self.health.relative_latency();
         if let Some((percent, at)) = self.speed
             && at + SPEED_LIFETIME > now
         {
-            cost *= f64::from(percent.clamp(50, 1000)) / 100.0;
+            slowness *= f64::from(percent.clamp(50, 1000)) / 100.0;
         }
         if self.cold(now) {
-            cost *= cfg.cold_factor;
-        }
-        if object.is_some_and(|o| self.warm.contains(&o)) {
-            cost *= cfg.warm_factor;
+            slowness *= cfg.cold_factor;
         }
-        cost
+        slowness
     }
 }
--- a/components/dispatch/src/settings.rs
+++ b/components/dispatch/src/settings.rs
@@ -23,10 +23,8 @@
     pub overload_wait: f64,
     /// Share of the time to its deadline for which a request waits without overload.
     pub normal_wait: f64,
-    /// Objects for which a server is taken to hold warm data.
-    pub warm_objects: usize,
-    /// Expected part of the usual service time when the server holds warm data.
-    pub warm_factor: f64,
+    /// Part of the time saved by warm data for which a request waits for a server that has it.
+    pub warm_wait: f64,
     /// Expected multiple of the usual service time on a cold server.
     pub cold_factor: f64,
     /// Time added for a server of another failure domain of the region.
@@ -49,10 +47,9 @@
             // Requests that are refused within an eighth of their target cost nothing.
             overload_wait: 0.125,
             normal_wait: 0.45,
-            warm_objects: 24,
-            warm_factor: 0.7,
+            warm_wait: 0.4,
             cold_factor: 2.0,
-            cross_domain_cost: Duration::from_millis(3),
+            cross_domain_cost: Duration::from_millis(8),
         }
     }
 }
--- a/components/gateway/src/relay/trace.rs
+++ b/components/gateway/src/relay/trace.rs
@@ -18,6 +18,8 @@
     generation: u64,
     service: Box<str>,
     route: Box<str>,
+    /// Short form of the hash of the object.
+    object: u16,
     target_ms: u128,
     deadline_ms: u128,
     /// Attempts, as `server:outcome:milliseconds`.
@@ -35,6 +37,7 @@
             generation: 0,
             service: "none".into(),
             route: "none".into(),
+            object: 0,
             target_ms: 0,
             deadline_ms: 0,
             attempts: String::new(),
@@ -46,6 +49,7 @@
         self.generation = plan.routes.generation;
         self.service = plan.service.clone();
         self.route = plan.route.name.clone();
+        self.object = plan.object.unwrap_or(0) as u16;
         self.target_ms = plan.target_at.saturating_sub(self.arrived).as_millis();
         self.deadline_ms = plan.give_up_at.saturating_sub(self.arrived).as_millis();
     }
@@ -90,12 +94,13 @@
 
     fn fields(&self) -> String {
         format!(
-            "id={} origin={:?} route={} service={} generation={} target_ms={} deadline_ms={} attempts={}",
+            "id={} origin={:?} route={} service={} generation={} object={:04x} target_ms={} deadline_ms={} attempts={}",
             self.id,
             self.origin,
             self.route,
             self.service,
             self.generation,
+            self.object,
             self.target_ms,
             self.deadline_ms,
             if self.attempts.is_empty() { "none" } else { &self.attempts }
