Count a target as missed earlier when ordering the queue

Cause: under overload half of the answers came late by little: a request that could just meet its target by the mean service time was served first, and its real service time was longer as often as not.

--- a/components/dispatch/src/queue.rs
+++ b/components/dispatch/src/queue.rs
@@ -5,7 +5,7 @@
 use crate::pool::{Ask, AskId};
 
 /// Share by which the usual service time is raised when judging whether a target can be met.
-const SERVICE_MARGIN: f64 = 1.1;
+const SERVICE_MARGIN: f64 = 1.4;
 
 /// A request that waits.
 #[derive(Clone, Debug)]
