Balance the load of regions by their rates

Changed: pools report demand and capacity a second; a region above the common load passes on a share of its requests, chosen by object, so that the same objects stay warm in the other region.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Time is passed in as the uptime of the process.
 
+mod balance;
 mod health;
 mod members;
 mod pool;
--- a/components/dispatch/src/pool.rs
+++ b/components/dispatch/src/pool.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use crate::balance::Balance;
 use crate::health::Outcome;
 use crate::queue::{Queue, Waiting};
 use crate::server::{Load, Server, Tracked};
@@ -30,6 +31,8 @@
 const REMOTE_LIFETIME: Duration = Duration::from_millis(900);
 /// Time for which forwarded requests are counted against the last report of free slots.
 const FORWARD_WINDOW: Duration = Duration::from_millis(250);
+/// Window in which requests of the region's own callers are counted.
+const DEMAND_WINDOW: Duration = Duration::from_secs(2);
 /// Share of the round trip to another region that a request may wait here before it is forwarded.
 const FORWARD_WAIT: f64 = 0.5;
 /// Ended requests that are remembered, to ignore repeated messages about them.
@@ -129,6 +132,10 @@
     pub slots: u32,
     /// Requests that wait.
     pub waiting: u32,
+    /// Requests of the region's own callers, in a thousand seconds.
+    pub demand: u32,
+    /// Requests that the servers can run, in a thousand seconds.
+    pub capacity: u32,
 }
 
 /// A slot in use.
@@ -175,6 +182,10 @@
     remotes: BTreeMap<RegionId, Remote>,
     /// Limits how fast requests move between regions.
     shift: ShiftLimiter,
+    /// Shares of the requests that run in other regions.
+    balance: Balance,
+    /// Requests of the region's own callers.
+    demand: Window,
     /// Slots of the servers in use at the last decision.
     last_capacity: u32,
     /// When the pool was taken over.
@@ -199,6 +210,8 @@
             ended: VecDeque::new(),
             removed: VecDeque::new(),
             warmth: Warmth::default(),
+            balance: Balance::default(),
+            demand: Window::new(DEMAND_WINDOW),
             last_capacity: 0,
             remotes: BTreeMap::new(),
             kept_since: Duration::ZERO,
@@ -270,6 +283,9 @@
             || self.held.contains_key(&ask.id)
             || self.ended.contains(&ask.id);
         if !known {
+            if !ask.regions.is_empty() {
+                self.demand.record(now);
+            }
             self.queue.push(ask, now);
         }
     }
@@ -365,6 +381,12 @@
             }
         }
         snapshot.free = snapshot.free.saturating_sub(snapshot.waiting);
+        let demand = self.demand.count(now) as f64 / DEMAND_WINDOW.as_secs_f64();
+        snapshot.demand = (demand * 1000.0) as u32;
+        if let Some(usual) = self.warmth.usual() {
+            let rate = f64::from(snapshot.slots) / usual.as_secs_f64().max(0.001);
+            snapshot.capacity = (rate * 1000.0) as u32;
+        }
         snapshot
     }
 
@@ -417,8 +439,11 @@
             self.last_capacity = capacity;
             self.shift.lift(now);
         }
+        self.update_balance(now);
         let mut decisions = queue.take(|_, w| {
-            self.keep_away(w, now).or_else(|| self.grant(w, now))
+            self.keep_away(w, now)
+                .or_else(|| self.send_away(w, now))
+                .or_else(|| self.grant(w, now))
         });
         decisions.extend(queue.take(|position, w| self.forward(w, position, capacity, now)));
         let overloaded = queue.standing(now) > self.cfg.standing_queue;
@@ -559,6 +584,37 @@
         Some((ask.id, Decision::Forward(region.clone())))
     }
 
+    fn update_balance(&mut self, now: Duration) {
+        if !self.balance.is_due(now) || self.remotes.is_empty() {
+            return;
+        }
+        let own = self.snapshot(now);
+        let others: Vec<(RegionId, Snapshot)> = self
+            .remotes
+            .iter()
+            .filter(|(_, r)| r.at + REMOTE_LIFETIME > now)
+            .map(|(region, r)| (region.clone(), r.snapshot))
+            .collect();
+        self.balance.update(own, &others, now);
+    }
+
+    /// Passes on the requests that other regions run to balance the load.
+    fn send_away(&mut self, waiting: &Waiting, now: Duration) -> Option<(AskId, Decision)> {
+        let ask = &waiting.ask;
+        if ask.regions.is_empty() {
+            return None;
+        }
+        let region = self.balance.region(place(ask))?.clone();
+        let remote = self.remotes.get_mut(&region)?;
+        let fresh = remote.at + REMOTE_LIFETIME > now;
+        if !fresh || !ask.regions.contains(&region) || !self.shift.may_leave(&region, now) {
+            return None;
+        }
+        remote.forwarded.record(now);
+        self.shift.record(Some(&region), now);
+        Some((ask.id, Decision::Forward(region)))
+    }
+
     fn forward(
         &mut self,
         waiting: &Waiting,
@@ -625,3 +681,9 @@
         Some((ask.id, Decision::Refuse { reason, retry_after }))
     }
 }
+
+/// Place of a request between 0 and 1, the same for all requests for an object.
+fn place(ask: &Ask) -> f64 {
+    let mixed = ask.object.unwrap_or(ask.id.1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed >> 11) as f64 / (1u64 << 53) as f64
+}
