--- a/components/dispatch/src/health.rs
+++ b/components/dispatch/src/health.rs
@@ -38,6 +38,8 @@
     Unused,
     /// The server is leaving or evacuated, as the entry VM that asked knows.
     Leaving,
+    /// The server is cold, as the entry VM that asked knows, and was not granted as such.
+    Cold,
 }
 
 /// Failure rate, latency and pauses of one server.
@@ -103,7 +105,7 @@
                 self.relative += LATENCY_WEIGHT * (RELATIVE_BOUNDS.1 - self.relative);
             }
             Outcome::Leaving => self.paused_until = now + LEAVING_PAUSE,
-            Outcome::Cancelled | Outcome::Unused => {}
+            Outcome::Cold | Outcome::Cancelled | Outcome::Unused => {}
         }
     }
 
--- a/components/dispatch/src/pool.rs
+++ b/components/dispatch/src/pool.rs
@@ -68,6 +68,9 @@
     pub repeat: bool,
     /// Whether it takes only a slot that nothing else waits for, and does not wait itself.
     pub spare: bool,
+    /// Whether it is asked of a pool that another entry VM should keep. Other pools may admit
+    /// requests to the same cold servers, so this one does not.
+    pub stopgap: bool,
     /// Hash of the object that it concerns, if servers answer faster for known objects.
     pub object: Option<u64>,
     /// Servers that it must not be sent to.
@@ -83,6 +86,8 @@
     pub server: ServerId,
     /// Where it accepts requests.
     pub address: SocketAddr,
+    /// Whether the server is cold, as far as the keeper knows.
+    pub cold: bool,
 }
 
 /// Why a request is refused; none of these requests has run.
@@ -253,13 +258,16 @@
         }
     }
 
-    /// Tells whether a server may get requests, as far as discovery says. Servers that are not
+    /// Checks a grant of another entry VM by what this one knows; returns what is wrong with it. Servers that are not
     /// known yet may: another entry VM can have heard of them first.
-    pub fn permits(&self, id: &str) -> bool {
-        self.servers.get(id).map_or_else(
-            || !self.removed.iter().any(|r| &**r == id),
-            |s| s.server.ready && !s.evacuated,
-        )
+    pub fn permits(&self, grant: &Grant, now: Duration) -> Result<(), Outcome> {
+        let id = &grant.server;
+        match self.servers.get(id) {
+            None if self.removed.contains(id) => Err(Outcome::Leaving),
+            Some(s) if !s.server.ready || s.evacuated => Err(Outcome::Leaving),
+            Some(s) if s.cold(now) && !grant.cold => Err(Outcome::Cold),
+            _ => Ok(()),
+        }
     }
 
     /// Sets the failure domains whose servers get nothing. Their servers count as cold afterwards.
@@ -318,6 +326,9 @@
         let warm = held.sticky && self.warmth.is_warm(held.depth);
         let expected = self.warmth.expected(warm);
         if let Some(server) = self.servers.get_mut(&held.grant.server) {
+            if outcome == Outcome::Cold {
+                server.become_cold(now, &self.cfg);
+            }
             let was_missing = server.health.missing();
             server.health.record(outcome, expected, now);
             if let Some(load) = load {
@@ -328,7 +339,7 @@
                 server.become_cold(now, &self.cfg);
             }
         }
-        if outcome == Outcome::Leaving {
+        if matches!(outcome, Outcome::Leaving | Outcome::Cold) {
             // The request comes again under the same id.
             self.forget_end(id);
         }
@@ -497,7 +508,7 @@
             let reason = RefuseReason::RetryBudget;
             return Some((ask.id, Decision::Refuse { reason, retry_after }));
         }
-        let no_cold = self.isolated || now < self.kept_since + TAKEOVER;
+        let no_cold = ask.stopgap || self.isolated || now < self.kept_since + TAKEOVER;
         let cfg = &self.cfg;
         let warmth = &self.warmth;
         let best = self
@@ -529,6 +540,7 @@
         let grant = Grant {
             server: best.server.id.clone(),
             address: best.server.address,
+            cold: best.cold(now),
         };
         let sends = if ask.repeat {
             &mut self.repeats
--- a/components/gateway/src/dispatcher/inner.rs
+++ b/components/gateway/src/dispatcher/inner.rs
@@ -186,6 +186,7 @@
             rank: request.rank,
             repeat: request.repeat,
             spare: request.spare,
+            stopgap: false,
             object: request.object,
             avoid: request.avoid.clone(),
             regions: request.regions.clone(),
@@ -233,6 +234,8 @@
             None => {
                 pending.keeper = None;
                 let service = ask.service.clone();
+                let mut ask = ask;
+                ask.stopgap = self.keeper(&service, now).is_some();
                 self.pool(&service).ask(ask, now);
                 self.decide(&service, now);
             }
@@ -348,19 +351,26 @@
         }
     }
 
-    /// Returns a slot of a server that is leaving or evacuated, which the keeper does not know yet,
-    /// and asks again without that server.
+    /// Returns a slot of a server that is leaving, evacuated or cold, which the keeper does not know
+    /// yet, and asks again.
     fn veto(&mut self, number: u64, grant: &Grant, now: Duration) -> bool {
         let Some(pending) = self.pending.get_mut(&number) else {
             return false;
         };
         let ask = &mut pending.ask;
-        if self.pools.get(&ask.service).is_none_or(|p| p.permits(&grant.server)) {
+        let checked = self.pools.get(&ask.service).map(|p| p.permits(grant, now));
+        let Some(Err(outcome)) = checked else {
             return false;
-        }
+        };
         metrics::counter!("grants_vetoed").increment(1);
-        log::info!("event=grant_vetoed server={} service={}", grant.server, ask.service);
-        ask.avoid.push(grant.server.clone());
+        log::info!(
+            "event=grant_vetoed server={} service={} reason={outcome:?}",
+            grant.server,
+            ask.service
+        );
+        if outcome == Outcome::Leaving {
+            ask.avoid.push(grant.server.clone());
+        }
         let (id, service) = (ask.id, ask.service.clone());
         let address = pending
             .keeper
@@ -373,7 +383,7 @@
                 Message::End {
                     id,
                     service,
-                    outcome: Outcome::Leaving,
+                    outcome,
                     load: None,
                 },
             );
