--- a/components/dispatch/src/pool.rs
+++ b/components/dispatch/src/pool.rs
@@ -535,7 +535,7 @@
         let best = self.servers.get_mut(&id)?;
         let depth = best.admit(now, ask.object);
         if !ask.regions.is_empty() {
-            self.shift.record(None, now);
+            self.shift.record(waiting.wanted.as_ref(), None, now);
         }
         let grant = Grant {
             server: best.server.id.clone(),
@@ -584,7 +584,7 @@
     /// Passes a request on although it could run here, where too many would come back at once.
     fn keep_away(&mut self, waiting: &Waiting, now: Duration) -> Option<(AskId, Decision)> {
         let ask = &waiting.ask;
-        let shift = &self.shift;
+        let shift = &mut self.shift;
         let (region, remote) = self.remotes.iter_mut().find(|(region, r)| {
             ask.regions.contains(region)
                 && r.at + REMOTE_LIFETIME > now
@@ -592,7 +592,7 @@
                 && shift.must_leave(region, now)
         })?;
         remote.forwarded.record(now);
-        self.shift.record(Some(region), now);
+        self.shift.record(waiting.wanted.as_ref(), Some(region), now);
         Some((ask.id, Decision::Forward(region.clone())))
     }
 
@@ -611,7 +611,7 @@
     }
 
     /// Passes on the requests that other regions run to balance the load.
-    fn send_away(&mut self, waiting: &Waiting, now: Duration) -> Option<(AskId, Decision)> {
+    fn send_away(&mut self, waiting: &mut Waiting, now: Duration) -> Option<(AskId, Decision)> {
         let ask = &waiting.ask;
         if ask.regions.is_empty() {
             return None;
@@ -619,17 +619,21 @@
         let region = self.balance.region(place(ask))?.clone();
         let remote = self.remotes.get_mut(&region)?;
         let fresh = remote.at + REMOTE_LIFETIME > now;
-        if !fresh || !ask.regions.contains(&region) || !self.shift.may_leave(&region, now) {
+        if !fresh || !ask.regions.contains(&region) {
+            return None;
+        }
+        waiting.wanted = Some(region.clone());
+        if !self.shift.may_leave(&region, now) {
             return None;
         }
         remote.forwarded.record(now);
-        self.shift.record(Some(&region), now);
+        self.shift.record(Some(&region), Some(&region), now);
         Some((ask.id, Decision::Forward(region)))
     }
 
     fn forward(
         &mut self,
-        waiting: &Waiting,
+        waiting: &mut Waiting,
         position: usize,
         capacity: u32,
         now: Duration,
@@ -641,7 +645,6 @@
             usual.mul_f64((position + 1) as f64 / f64::from(capacity))
         };
         let wait = wait.max(now.saturating_sub(waiting.since));
-        let shift = &self.shift;
         let (region, remote) = self
             .remotes
             .iter_mut()
@@ -650,14 +653,17 @@
                 let sent = r.forwarded.count(now) as u32;
                 let left = r.snapshot.free.saturating_sub(sent);
                 let fresh = r.at + REMOTE_LIFETIME > now;
-                let worth_it = shift.may_leave(region, now)
-                    && wait >= r.round_trip.mul_f64(FORWARD_WAIT);
+                let worth_it = wait >= r.round_trip.mul_f64(FORWARD_WAIT);
                 (fresh && left > 0 && worth_it).then_some((left, region, r))
             })
             .max_by_key(|(left, ..)| *left)
             .map(|(_, region, r)| (region, r))?;
+        waiting.wanted = Some(region.clone());
+        if !self.shift.may_leave(region, now) {
+            return None;
+        }
         remote.forwarded.record(now);
-        self.shift.record(Some(region), now);
+        self.shift.record(Some(region), Some(region), now);
         Some((waiting.ask.id, Decision::Forward(region.clone())))
     }
 
--- a/components/dispatch/src/queue.rs
+++ b/components/dispatch/src/queue.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use config::RegionId;
+
 use crate::pool::{Ask, AskId};
 
 /// Share by which the usual service time is raised when judging whether a target can be met.
@@ -14,6 +16,8 @@
     pub ask: Ask,
     /// When it was asked.
     pub since: Duration,
+    /// Other region in which it would run if requests could move between regions at once.
+    pub wanted: Option<RegionId>,
 }
 
 impl Waiting {
@@ -49,7 +53,11 @@
 impl Queue {
     pub fn push(&mut self, ask: Ask, now: Duration) {
         self.standing_since.get_or_insert(now);
-        self.waiting.push(Waiting { ask, since: now });
+        self.waiting.push(Waiting {
+            ask,
+            since: now,
+            wanted: None,
+        });
     }
 
     pub fn contains(&self, id: AskId) -> bool {
@@ -85,10 +93,10 @@
     }
 
     /// Removes and returns what `f` selects, in the order of the queue.
-    pub fn take<T>(&mut self, mut f: impl FnMut(usize, &Waiting) -> Option<T>) -> Vec<T> {
+    pub fn take<T>(&mut self, mut f: impl FnMut(usize, &mut Waiting) -> Option<T>) -> Vec<T> {
         let mut taken = Vec::new();
         let mut position = 0;
-        self.waiting.retain(|w| match f(position, w) {
+        self.waiting.retain_mut(|w| match f(position, w) {
             Some(t) => {
                 taken.push(t);
                 false
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -20,7 +20,7 @@
 /// rate and a slack, which covers two keepers at the same time.
 const COLD_SHARE: f64 = 0.8;
 /// Part of the allowed shift that is used; the rest covers windows that start at other moments.
-const SHIFT_SHARE: f64 = 0.9;
+const SHIFT_SHARE: f64 = 1.0;
 /// Share of the platform's retry budget that is used; the rest covers requests that are counted in
 /// different windows and pools that are kept twice.
 const RETRY_SHARE: f64 = 0.7;
