--- /dev/null
+++ b/components/gateway/tests/relay/main.rs
@@ -0,0 +1,6 @@
+//! An entry VM between callers and scripted servers, over real connections.
+
+mod answers;
+mod callers;
+mod stop;
+mod world;
--- /dev/null
+++ b/components/gateway/tests/relay/world.rs
@@ -0,0 +1,293 @@
+//! An entry VM, scripted servers and callers for tests.
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, Once};
+use std::thread;
+use std::time::Duration;
+
+use dispatch::{Part, Route, RouteTable, Server, Service};
+use gateway::{Dialect, HeaderNames, LookUp, Node, Settings};
+
+/// Names of the tests' platform.
+pub const DIALECT: Dialect = Dialect {
+    headers: HeaderNames {
+        request_id: "x-id",
+        deadline_ms: "x-deadline",
+        object: "x-object",
+        signature: "x-signature",
+        expected_server: "x-server",
+        load: "x-load",
+        not_run: "x-not-run",
+    },
+    readiness_path: "/ready",
+    look_up_path: "/look-up",
+    parse_look_up: |_| LookUp {
+        domain: "north".into(),
+        region: "donau".into(),
+        ..LookUp::default()
+    },
+    encode_look_up: |addresses, _| format!("{addresses:?}").into_bytes(),
+    look_up_type: "text/plain",
+    parse_load: |_| None,
+};
+
+/// What a scripted server does with a request.
+pub enum Act {
+    /// Sends bytes.
+    Send(Vec<u8>),
+    /// Waits.
+    Wait(Duration),
+    /// Ends the connection in order.
+    End,
+}
+
+/// A scripted server.
+pub struct Backend {
+    pub address: SocketAddr,
+    /// Heads and bodies of the requests, in order.
+    pub requests: Arc<Mutex<Vec<String>>>,
+    /// Connections that callers closed while a request was being answered.
+    pub cancelled: Arc<AtomicUsize>,
+}
+
+impl Backend {
+    /// Starts a server; `script` gets the number of the request, from 0, and its id.
+    pub fn start(script: impl Fn(usize, &str) -> Vec<Act> + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
+        let backend = Backend {
+            address: listener.local_addr().expect("address"),
+            requests: Arc::default(),
+            cancelled: Arc::default(),
+        };
+        let script = Arc::new(script);
+        let (requests, cancelled) = (backend.requests.clone(), backend.cancelled.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (script, requests) = (script.clone(), requests.clone());
+                let cancelled = cancelled.clone();
+                thread::spawn(move || serve(stream, &*script, &requests, &cancelled));
+            }
+        });
+        backend
+    }
+
+    pub fn count(&self) -> usize {
+        self.requests.lock().expect("requests").len()
+    }
+}
+
+fn serve(
+    mut stream: TcpStream,
+    script: &(impl Fn(usize, &str) -> Vec<Act> + ?Sized),
+    requests: &Mutex<Vec<String>>,
+    cancelled: &AtomicUsize,
+) {
+    while let Some((head, body)) = read_message(&mut stream) {
+        let id = field(&head, "x-id").unwrap_or_default();
+        let number = {
+            let mut requests = requests.lock().expect("requests");
+            requests.push(head + &String::from_utf8_lossy(&body));
+            requests.len() - 1
+        };
+        for act in script(number, &id) {
+            match act {
+                Act::Send(bytes) => {
+                    if stream.write_all(&bytes).is_err() {
+                        return;
+                    }
+                }
+                Act::Wait(time) => {
+                    stream.set_read_timeout(Some(time)).expect("timeout");
+                    let mut byte = [0];
+                    if matches!(stream.peek(&mut byte), Ok(0)) {
+                        cancelled.fetch_add(1, Ordering::SeqCst);
+                        return;
+                    }
+                    stream.set_read_timeout(None).expect("timeout");
+                }
+                Act::End => {
+                    let _ = stream.shutdown(Shutdown::Both);
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Reads a message with a length or without a body.
+pub fn read_message(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).ok()?;
+    let length = field(&head, "content-length").map_or(0, |l| l.parse().expect("length"));
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+/// Returns the value of a header field.
+pub fn field(head: &str, name: &str) -> Option<String> {
+    head.lines()
+        .filter_map(|l| l.split_once(':'))
+        .find(|(n, _)| n.eq_ignore_ascii_case(name))
+        .map(|(_, v)| v.trim().to_owned())
+}
+
+/// A complete signed answer.
+pub fn answer(id: &str, body: &str) -> Vec<Act> {
+    vec![Act::Send(answer_bytes(id, body))]
+}
+
+/// Bytes of a complete signed answer.
+pub fn answer_bytes(id: &str, body: &str) -> Vec<u8> {
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signature: s\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+/// A refusal by a server that did not run the request.
+pub fn shed(id: &str) -> Vec<Act> {
+    let text = format!(
+        "HTTP/1.1 503 Service Unavailable\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    );
+    vec![Act::Send(text.into_bytes())]
+}
+
+/// An entry VM.
+pub struct World {
+    pub node: Arc<Node>,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+}
+
+impl World {
+    /// Starts an entry VM in front of `backends`; `/read/` is idempotent and `/order/` binding.
+    pub fn start(backends: &[&Backend]) -> Self {
+        run_executor();
+        let settings = Settings {
+            domains: [("north".into(), "donau".into())].into(),
+            domain: "north".into(),
+            region: "donau".into(),
+            callers: free_address(),
+            readiness: free_address(),
+            look_ups: free_address(),
+            peers: free_address(),
+            metrics: free_address(),
+            grace_period: Duration::from_millis(3000),
+            retry_slack: 100.0,
+            ..Settings::default()
+        };
+        let (callers, readiness) = (settings.callers, settings.readiness);
+        let start = gateway::start(settings, DIALECT, runtime::Clock::start());
+        let node = runtime::block_on(1, start).expect("an entry VM");
+        for (i, backend) in backends.iter().enumerate() {
+            node.put_server(server(i, backend.address));
+        }
+        node.servers_listed();
+        node.set_informed(true);
+        assert!(node.set_routes(routes()));
+        World {
+            node,
+            callers,
+            readiness,
+        }
+    }
+
+    /// Opens a connection of a caller.
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.callers).expect("connect");
+        let limit = Some(Duration::from_secs(10));
+        stream.set_read_timeout(limit).expect("timeout");
+        stream
+    }
+
+    /// Sends a request and returns the answer.
+    pub fn call(&self, method: &str, path: &str, id: &str) -> (u16, String, String) {
+        let mut stream = self.connect();
+        stream.write_all(&request(method, path, id)).expect("write");
+        receive(&mut stream).expect("an answer")
+    }
+}
+
+/// Bytes of a request.
+pub fn request(method: &str, path: &str, id: &str) -> Vec<u8> {
+    let body = if method == "POST" { "Content-Length: 5\r\n\r\nhello" } else { "\r\n" };
+    format!("{method} {path} HTTP/1.1\r\nHost: shop.example\r\nX-Id: {id}\r\nX-Deadline: 2000\r\n{body}")
+        .into_bytes()
+}
+
+/// Receives an answer: status, head and body.
+pub fn receive(stream: &mut TcpStream) -> Option<(u16, String, String)> {
+    let (head, body) = read_message(stream)?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some((status, head, String::from_utf8_lossy(&body).into_owned()))
+}
+
+fn server(i: usize, address: SocketAddr) -> Server {
+    Server {
+        id: format!("s{i}").into(),
+        service: "work".into(),
+        address,
+        domain: "north".into(),
+        slots: 3,
+        ready: true,
+        cold_until: None,
+        born: 1,
+    }
+}
+
+fn routes() -> RouteTable {
+    let route = |prefix: &str, binding| Route {
+        name: prefix.into(),
+        prefix: prefix.into(),
+        binding,
+        timeout: Duration::from_secs(2),
+        target: Duration::from_millis(500),
+        max_attempts: 2,
+        rank: 1,
+        parts: [Part {
+            service: "work".into(),
+            weight: 1,
+        }]
+        .into_iter()
+        .collect(),
+        homes: Default::default(),
+        sticky: true,
+    };
+    let service = Service {
+        health_path: "/health".into(),
+        connection_limit: 100,
+        cold_start: Duration::from_secs(1),
+        cold_per_s: 100.0,
+    };
+    let routes = vec![route("/read/", false), route("/order/", true)];
+    RouteTable {
+        generation: 1,
+        hosts: [("shop.example".into(), routes)].into(),
+        services: [("work".into(), service)].into(),
+        ..RouteTable::default()
+    }
+}
+
+/// A port of its own for each listener of the process.
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind");
+    listener.local_addr().expect("address")
+}
+
+fn run_executor() {
+    static STARTED: Once = Once::new();
+    STARTED.call_once(|| {
+        thread::spawn(|| runtime::block_on(2, std::future::pending::<()>()));
+    });
+}
