--- a/components/dispatch/src/balance.rs
+++ b/components/dispatch/src/balance.rs
@@ -31,7 +31,8 @@
     pub fn update(&mut self, own: Snapshot, others: &[(RegionId, Snapshot)], now: Duration) {
         self.updated = now;
         let wanted = shares(own, others);
-        self.shares.retain(|(r, _)| others.iter().any(|(o, _)| o == r));
+        self.shares
+            .retain(|(r, _)| others.iter().any(|(o, _)| o == r));
         for (region, share) in wanted {
             match self.shares.iter_mut().find(|(r, _)| *r == region) {
                 Some((_, old)) => *old += STEP * (share - *old),
--- a/components/dispatch/src/members.rs
+++ b/components/dispatch/src/members.rs
@@ -73,7 +73,9 @@
         if known.is_some_and(|(k, heard)| heard.is_some() || k.incarnation == member.incarnation) {
             return false;
         }
-        self.others.insert(member.id.clone(), (member, None)).is_none()
+        self.others
+            .insert(member.id.clone(), (member, None))
+            .is_none()
     }
 
     /// Records a heartbeat; returns whether the member is new, has changed or was silent.
@@ -134,7 +136,10 @@
 
     /// Tells whether no other member of the own region answers although some are known.
     pub fn isolated(&self, now: Duration) -> bool {
-        let mut near = self.others().filter(|m| m.region == self.own.region).peekable();
+        let mut near = self
+            .others()
+            .filter(|m| m.region == self.own.region)
+            .peekable();
         near.peek().is_some() && !near.any(|m| self.usable(&m.id, now))
     }
 
--- a/components/dispatch/src/pool.rs
+++ b/components/dispatch/src/pool.rs
@@ -3,145 +3,34 @@
 //! One entry VM of the region keeps the pool and decides for all of them, so that limits hold
 //! exactly. When another takes over, the entry VMs register what they have in flight.
 
+mod grant;
+mod remote;
+mod types;
+
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use config::{DomainId, Incarnation, RegionId, ServerId, ServiceId};
-use serde::{Deserialize, Serialize};
-use smallvec::SmallVec;
+use config::{DomainId, Incarnation, RegionId, ServerId};
 
 use crate::balance::Balance;
 use crate::health::Outcome;
-use crate::queue::{Queue, Waiting};
+use crate::queue::Queue;
 use crate::server::{Load, Server, Tracked};
 use crate::settings::PoolSettings;
 use crate::shift::ShiftLimiter;
 use crate::warmth::Warmth;
 use crate::window::Window;
+use remote::Remote;
+pub use types::{Ask, AskId, Decision, Grant, RefuseReason, Snapshot};
 
 /// Time without requests after which a pool counts as taken over anew.
 const DORMANT: Duration = Duration::from_secs(1);
-/// Time after a takeover without requests to cold servers: the window of their limit, in which the
-/// former keeper may have used it up.
-const TAKEOVER: Duration = Duration::from_millis(1100);
 /// Time after its deadline at which a grant counts as ended although no report came.
 const GRANT_SLACK: Duration = Duration::from_millis(500);
-/// Age at which a report about another region is not used.
-const REMOTE_LIFETIME: Duration = Duration::from_millis(900);
-/// Time for which forwarded requests are counted against the last report of free slots.
-const FORWARD_WINDOW: Duration = Duration::from_millis(250);
 /// Window in which requests of the region's own callers are counted.
 const DEMAND_WINDOW: Duration = Duration::from_secs(2);
-/// Share of the round trip to another region that a request may wait here before it is forwarded.
-const FORWARD_WAIT: f64 = 0.5;
 /// Ended requests that are remembered, to ignore repeated messages about them.
 const REMEMBERED: usize = 1024;
-/// Weight of an object's order of servers against their speed.
-const ORDER_WEIGHT: f64 = 0.5;
-/// Shortest time after which a refused caller is asked to come back.
-const SHORTEST_RETRY: Duration = Duration::from_millis(100);
-/// Longest time after which a refused caller is asked to come back.
-const LONGEST_RETRY: Duration = Duration::from_secs(2);
-
-/// Incarnation of the entry VM that asks, and its number for the request.
-pub type AskId = (Incarnation, u64);
-
-/// A request for a slot.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Ask {
-    /// Identifies the request and the entry VM.
-    pub id: AskId,
-    /// Service that is to run it.
-    pub service: ServiceId,
-    /// Failure domain of the entry VM.
-    pub domain: DomainId,
-    /// Time that is left of the target latency.
-    pub target_left: Duration,
-    /// Time until the caller or the route gives up.
-    pub deadline_left: Duration,
-    /// Time for which the caller has already waited.
-    pub waited: Duration,
-    /// Rank; 0 is served first.
-    pub rank: u8,
-    /// Whether the request was sent to a server before.
-    pub repeat: bool,
-    /// Whether it takes only a slot that nothing else waits for, and does not wait itself.
-    pub spare: bool,
-    /// Whether it is asked of a pool that another entry VM should keep. Other pools may admit
-    /// requests to the same cold servers, so this one does not.
-    pub stopgap: bool,
-    /// Hash of the object that it concerns, if servers answer faster for known objects.
-    pub object: Option<u64>,
-    /// Servers that it must not be sent to.
-    pub avoid: SmallVec<[ServerId; 2]>,
-    /// Regions to which it may be forwarded.
-    pub regions: SmallVec<[RegionId; 2]>,
-}
-
-/// A slot of a server, granted to one request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Grant {
-    /// The server.
-    pub server: ServerId,
-    /// Where it accepts requests.
-    pub address: SocketAddr,
-    /// Whether the server is cold, as far as the keeper knows.
-    pub cold: bool,
-}
-
-/// Why a request is refused; none of these requests has run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RefuseReason {
-    /// No slot came free in time.
-    Overloaded,
-    /// The service has no usable server.
-    NoServers,
-    /// The retry budget is spent.
-    RetryBudget,
-}
-
-impl RefuseReason {
-    /// Label for logs and metrics.
-    pub fn label(self) -> &'static str {
-        match self {
-            RefuseReason::Overloaded => "overloaded",
-            RefuseReason::NoServers => "no_servers",
-            RefuseReason::RetryBudget => "retry_budget",
-        }
-    }
-}
-
-/// Decision about a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Decision {
-    /// Send it to this server.
-    Grant(Grant),
-    /// Pass it on to the keeper of the pool of this region.
-    Forward(RegionId),
-    /// Refuse it.
-    Refuse {
-        /// Why.
-        reason: RefuseReason,
-        /// When the caller may come back.
-        retry_after: Duration,
-    },
-}
-
-/// State of a pool, for the pools of other regions.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Snapshot {
-    /// Slots that are free.
-    pub free: u32,
-    /// Slots of all usable servers.
-    pub slots: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests of the region's own callers, in a thousand seconds.
-    pub demand: u32,
-    /// Requests that the servers can run, in a thousand seconds.
-    pub capacity: u32,
-}
 
 /// A slot in use.
 #[derive(Clone, Debug)]
@@ -155,18 +44,6 @@
     depth: Option<usize>,
 }
 
-/// What is known of the pool of another region.
-#[derive(Clone, Debug)]
-struct Remote {
-    snapshot: Snapshot,
-    /// When it was reported.
-    at: Duration,
-    /// Round trip to that region.
-    round_trip: Duration,
-    /// Requests forwarded since.
-    forwarded: Window,
-}
-
 /// The pool of one service in one region.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -351,31 +228,17 @@
     /// Ends all requests of an entry VM that has stopped.
     pub fn drop_incarnation(&mut self, incarnation: Incarnation) {
         self.queue.remove_incarnation(incarnation);
-        let ids: Vec<AskId> = self.held.keys().copied().filter(|id| id.0 == incarnation).collect();
+        let ids: Vec<AskId> = self
+            .held
+            .keys()
+            .copied()
+            .filter(|id| id.0 == incarnation)
+            .collect();
         for id in ids {
             self.release(id);
         }
     }
 
-    /// Records the state of the pool of another region.
-    pub fn note_remote(
-        &mut self,
-        region: RegionId,
-        snapshot: Snapshot,
-        round_trip: Duration,
-        now: Duration,
-    ) {
-        let remote = self.remotes.entry(region).or_insert_with(|| Remote {
-            snapshot,
-            at: now,
-            round_trip,
-            forwarded: Window::new(FORWARD_WINDOW),
-        });
-        remote.snapshot = snapshot;
-        remote.round_trip = round_trip;
-        remote.at = now;
-    }
-
     /// Describes the pool for other regions.
     pub fn snapshot(&mut self, now: Duration) -> Snapshot {
         let mut snapshot = Snapshot {
@@ -500,208 +363,4 @@
             .map(|s| s.server.slots)
             .sum()
     }
-
-    fn grant(&mut self, waiting: &Waiting, now: Duration) -> Option<(AskId, Decision)> {
-        let ask = &waiting.ask;
-        if ask.repeat && !self.may_repeat(now) {
-            let retry_after = SHORTEST_RETRY;
-            let reason = RefuseReason::RetryBudget;
-            return Some((ask.id, Decision::Refuse { reason, retry_after }));
-        }
-        let no_cold = ask.stopgap || self.isolated || now < self.kept_since + TAKEOVER;
-        let cfg = &self.cfg;
-        let warmth = &self.warmth;
-        let best = self
-            .servers
-            .values_mut()
-            .filter(|s| !ask.avoid.contains(&s.server.id))
-            .filter_map(|s| {
-                let free = s.usable(now, cfg) && !(no_cold && s.cold(now));
-                free.then(|| {
-                    let warm = ask.object.is_some_and(|o| warmth.is_warm(s.recent.depth(o)));
-                    let factor = s.slowness(now, cfg) * (1.0 + ORDER_WEIGHT * s.order(ask.object));
-                    let mut time = warmth.expected(warm).mul_f64(factor);
-                    if s.server.domain != ask.domain {
-                        time += cfg.cross_domain_cost;
-                    }
-                    (time, warm, s.server.id.clone())
-                })
-            })
-            .min_by_key(|(time, ..)| *time);
-        let (_, warm, id) = best?;
-        if ask.object.is_some() && !warm && self.worth_waiting(waiting, now) {
-            return None;
-        }
-        let best = self.servers.get_mut(&id)?;
-        let depth = best.admit(now, ask.object);
-        if !ask.regions.is_empty() {
-            self.shift.record(waiting.wanted.as_ref(), None, now);
-        }
-        let grant = Grant {
-            server: best.server.id.clone(),
-            address: best.server.address,
-            cold: best.cold(now),
-        };
-        let sends = if ask.repeat {
-            &mut self.repeats
-        } else {
-            &mut self.first_sends
-        };
-        sends.record(now);
-        let expires = waiting.deadline_at().max(now) + GRANT_SLACK;
-        let held = Held {
-            grant: grant.clone(),
-            expires,
-            sticky: ask.object.is_some(),
-            depth,
-        };
-        self.held.insert(ask.id, held);
-        Some((ask.id, Decision::Grant(grant)))
-    }
-
-    /// Tells whether a request is better off waiting for a busy server that holds its object warm
-    /// than running without warm data.
-    fn worth_waiting(&self, waiting: &Waiting, now: Duration) -> bool {
-        let ask = &waiting.ask;
-        let saved = self.warmth.expected(false).saturating_sub(self.warmth.expected(true));
-        if now.saturating_sub(waiting.since) >= saved.mul_f64(self.cfg.warm_wait) {
-            return false;
-        }
-        self.servers.values().any(|s| {
-            let warm = ask.object.is_some_and(|o| self.warmth.is_warm(s.recent.depth(o)));
-            warm && s.in_use(now)
-                && s.in_flight >= s.server.slots
-                && !ask.avoid.contains(&s.server.id)
-        })
-    }
-
-    fn may_repeat(&mut self, now: Duration) -> bool {
-        let allowed = self.cfg.retry_ratio * self.first_sends.count(now) as f64
-            + self.cfg.retry_allowance;
-        (self.repeats.count(now) as f64) + 1.0 <= allowed
-    }
-
-    /// Passes a request on although it could run here, where too many would come back at once.
-    fn keep_away(&mut self, waiting: &Waiting, now: Duration) -> Option<(AskId, Decision)> {
-        let ask = &waiting.ask;
-        let shift = &mut self.shift;
-        let (region, remote) = self.remotes.iter_mut().find(|(region, r)| {
-            ask.regions.contains(region)
-                && r.at + REMOTE_LIFETIME > now
-                && r.snapshot.free > 0
-                && shift.must_leave(region, now)
-        })?;
-        remote.forwarded.record(now);
-        self.shift.record(waiting.wanted.as_ref(), Some(region), now);
-        Some((ask.id, Decision::Forward(region.clone())))
-    }
-
-    fn update_balance(&mut self, now: Duration) {
-        if !self.balance.is_due(now) || self.remotes.is_empty() {
-            return;
-        }
-        let own = self.snapshot(now);
-        let others: Vec<(RegionId, Snapshot)> = self
-            .remotes
-            .iter()
-            .filter(|(_, r)| r.at + REMOTE_LIFETIME > now)
-            .map(|(region, r)| (region.clone(), r.snapshot))
-            .collect();
-        self.balance.update(own, &others, now);
-    }
-
-    /// Passes on the requests that other regions run to balance the load.
-    fn send_away(&mut self, waiting: &mut Waiting, now: Duration) -> Option<(AskId, Decision)> {
-        let ask = &waiting.ask;
-        if ask.regions.is_empty() {
-            return None;
-        }
-        let region = self.balance.region(place(ask))?.clone();
-        let remote = self.remotes.get_mut(&region)?;
-        let fresh = remote.at + REMOTE_LIFETIME > now;
-        if !fresh || !ask.regions.contains(&region) {
-            return None;
-        }
-        waiting.wanted = Some(region.clone());
-        if !self.shift.may_leave(&region, now) {
-            return None;
-        }
-        remote.forwarded.record(now);
-        self.shift.record(Some(&region), Some(&region), now);
-        Some((ask.id, Decision::Forward(region)))
-    }
-
-    fn forward(
-        &mut self,
-        waiting: &mut Waiting,
-        position: usize,
-        capacity: u32,
-        now: Duration,
-    ) -> Option<(AskId, Decision)> {
-        let usual = self.usual_or_first();
-        let wait = if capacity == 0 {
-            Duration::MAX
-        } else {
-            usual.mul_f64((position + 1) as f64 / f64::from(capacity))
-        };
-        let wait = wait.max(now.saturating_sub(waiting.since));
-        let (region, remote) = self
-            .remotes
-            .iter_mut()
-            .filter(|(region, _)| waiting.ask.regions.contains(region))
-            .filter_map(|(region, r)| {
-                let sent = r.forwarded.count(now) as u32;
-                let left = r.snapshot.free.saturating_sub(sent);
-                let fresh = r.at + REMOTE_LIFETIME > now;
-                let worth_it = wait >= r.round_trip.mul_f64(FORWARD_WAIT);
-                (fresh && left > 0 && worth_it).then_some((left, region, r))
-            })
-            .max_by_key(|(left, ..)| *left)
-            .map(|(_, region, r)| (region, r))?;
-        waiting.wanted = Some(region.clone());
-        if !self.shift.may_leave(region, now) {
-            return None;
-        }
-        remote.forwarded.record(now);
-        self.shift.record(Some(region), Some(region), now);
-        Some((waiting.ask.id, Decision::Forward(region.clone())))
-    }
-
-    fn refuse(
-        &self,
-        waiting: &Waiting,
-        overloaded: bool,
-        length: usize,
-        capacity: u32,
-        now: Duration,
-    ) -> Option<(AskId, Decision)> {
-        let ask = &waiting.ask;
-        let total = ask.deadline_left + ask.waited;
-        let patience = if ask.spare {
-            Duration::ZERO
-        } else if overloaded {
-            let target = ask.target_left + ask.waited;
-            target.mul_f64(self.cfg.overload_wait).max(total.mul_f64(0.03))
-        } else {
-            total.mul_f64(self.cfg.normal_wait)
-        };
-        if waiting.waited(now) < patience {
-            return None;
-        }
-        let usual = self.usual_or_first();
-        let drain = usual.mul_f64(length as f64 / f64::from(capacity.max(1)));
-        let retry_after = drain.clamp(SHORTEST_RETRY, LONGEST_RETRY);
-        let reason = if capacity == 0 {
-            RefuseReason::NoServers
-        } else {
-            RefuseReason::Overloaded
-        };
-        Some((ask.id, Decision::Refuse { reason, retry_after }))
-    }
-}
-
-/// Place of a request between 0 and 1, the same for all requests for an object.
-fn place(ask: &Ask) -> f64 {
-    let mixed = ask.object.unwrap_or(ask.id.1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    (mixed >> 11) as f64 / (1u64 << 53) as f64
 }
--- a/components/dispatch/src/queue.rs
+++ b/components/dispatch/src/queue.rs
@@ -84,7 +84,7 @@
         self.waiting.sort_by_cached_key(|w| {
             let late = !w.can_meet_target(usual, now);
             let order = if late {
-                Duration::MAX - w.since
+                Duration::MAX.saturating_sub(w.since)
             } else {
                 w.target_at()
             };
@@ -96,15 +96,12 @@
     pub fn take<T>(&mut self, mut f: impl FnMut(usize, &mut Waiting) -> Option<T>) -> Vec<T> {
         let mut taken = Vec::new();
         let mut position = 0;
-        self.waiting.retain_mut(|w| match f(position, w) {
-            Some(t) => {
-                taken.push(t);
-                false
-            }
-            None => {
-                position += 1;
-                true
-            }
+        self.waiting.retain_mut(|w| {
+            let chosen = f(position, w);
+            let kept = chosen.is_none();
+            taken.extend(chosen);
+            position += usize::from(kept);
+            kept
         });
         if self.waiting.is_empty() {
             self.standing_since = None;
--- a/components/dispatch/src/shift.rs
+++ b/components/dispatch/src/shift.rs
@@ -84,7 +84,11 @@
             let is = |r: Option<&RegionId>| if r == Some(region) { 1.0 } else { 0.0 };
             flow.wanted += weight * (is(wanted) - flow.wanted);
             let step = flow.wanted - flow.level;
-            flow.level += if free { step } else { step.clamp(-slope, slope) };
+            flow.level += if free {
+                step
+            } else {
+                step.clamp(-slope, slope)
+            };
             let behind = flow.behind + flow.level - is(runs);
             flow.behind = behind.clamp(-burst - 1.0, burst + 1.0);
         }
--- a/components/dispatch/src/warmth.rs
+++ b/components/dispatch/src/warmth.rs
@@ -41,12 +41,11 @@
     /// Records that an object is handled; returns its depth before.
     pub fn touch(&mut self, object: u64) -> Option<usize> {
         let depth = self.depth(object);
-        match depth {
-            Some(d) => self.objects[..=d].rotate_right(1),
-            None => {
-                self.objects.truncate(REMEMBERED - 1);
-                self.objects.insert(0, object);
-            }
+        if let Some(d) = depth {
+            self.objects[..=d].rotate_right(1);
+        } else {
+            self.objects.truncate(REMEMBERED - 1);
+            self.objects.insert(0, object);
         }
         depth
     }
--- a/components/dispatch/src/window.rs
+++ b/components/dispatch/src/window.rs
@@ -34,7 +34,11 @@
     }
 
     fn expire(&mut self, now: Duration) {
-        while self.moments.front().is_some_and(|&at| at + self.span <= now) {
+        while self
+            .moments
+            .front()
+            .is_some_and(|&at| at + self.span <= now)
+        {
             self.moments.pop_front();
         }
     }
--- a/components/dispatch/tests/common/mod.rs
+++ b/components/dispatch/tests/pool/common.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
 use dispatch::{Ask, Decision, Grant, Outcome, Pool, PoolSettings, Server};
 
 /// Incarnation of the entry VM that asks.
@@ -37,8 +39,8 @@
         spare: false,
         stopgap: false,
         object: None,
-        avoid: Default::default(),
-        regions: Default::default(),
+        avoid: SmallVec::new(),
+        regions: SmallVec::new(),
     }
 }
 
@@ -55,7 +57,10 @@
     let id = ask.id;
     pool.ask(ask, now);
     let decisions = pool.schedule(now);
-    decisions.into_iter().find(|(i, _)| *i == id).map(|(_, d)| d)
+    decisions
+        .into_iter()
+        .find(|(i, _)| *i == id)
+        .map(|(_, d)| d)
 }
 
 /// Asks and returns the grant, if there is one at once.
--- a/components/dispatch/tests/pool.rs
+++ b/components/dispatch/tests/pool/decisions.rs
@@ -1,10 +1,8 @@
 //! Decisions of a pool.
 
-mod common;
-
 use std::time::Duration;
 
-use common::{ASKER, answer, ask, decide, grant, ms, pool, server};
+use crate::common::{ASKER, answer, ask, decide, grant, ms, pool, server};
 use dispatch::{Ask, Decision, Outcome, PoolSettings, RefuseReason, Snapshot};
 use proptest::prelude::*;
 
@@ -139,7 +137,10 @@
     let decisions: Vec<_> = repeats
         .map(|r| decide(&mut pool, r, ms(200)).expect("a decision at once"))
         .collect();
-    let granted = decisions.iter().filter(|d| matches!(d, Decision::Grant(_))).count();
+    let granted = decisions
+        .iter()
+        .filter(|d| matches!(d, Decision::Grant(_)))
+        .count();
     assert_eq!(granted, 13);
     assert!(matches!(
         decisions.last(),
@@ -189,7 +190,10 @@
         spare: true,
         ..ask(2)
     };
-    assert!(matches!(decide(&mut pool, hedge, ms(1)), Some(Decision::Refuse { .. })));
+    assert!(matches!(
+        decide(&mut pool, hedge, ms(1)),
+        Some(Decision::Refuse { .. })
+    ));
 }
 
 /// Guards against slow answers from servers without an object's data while others have it.
--- /dev/null
+++ b/components/dispatch/tests/pool/main.rs
@@ -0,0 +1,5 @@
+//! Pools of slots.
+
+mod common;
+mod decisions;
+mod shift;
--- a/components/dispatch/tests/shift.rs
+++ b/components/dispatch/tests/pool/shift.rs
@@ -1,10 +1,8 @@
 //! How fast requests move between regions.
 
-mod common;
-
 use std::time::Duration;
 
-use common::{answer, ask, ms, pool, server};
+use crate::common::{answer, ask, ms, pool, server};
 use dispatch::{Ask, Decision, PoolSettings, Snapshot};
 
 /// Largest change of a share within two seconds.
--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -14,8 +14,9 @@
     pub connection: Connection,
     /// What is left to read.
     pub body: Body,
-    /// Slot of the server, until the body is complete; absent for answers of other entry VMs.
-    pub slot: Option<Slot>,
+    /// Keeps the slot of the server until the body is complete; absent for answers of other entry
+    /// VMs.
+    pub _slot: Option<Slot>,
 }
 
 /// An answer to a caller.
--- a/components/gateway/src/callers/session.rs
+++ b/components/gateway/src/callers/session.rs
@@ -96,7 +96,10 @@
     /// Serves the connection until it ends.
     pub async fn run(mut self) {
         if let Err(e) = self.serve().await {
-            log::debug!("event=connection_ended error=\"{e}\" owed={}", self.owed.len());
+            log::debug!(
+                "event=connection_ended error=\"{e}\" owed={}",
+                self.owed.len()
+            );
         }
     }
 
@@ -282,7 +285,9 @@
                 None => Ok(()),
             }
         };
-        runtime::timeout(WRITE_LIMIT, writing).await.unwrap_or(Err(Error::Timeout))
+        runtime::timeout(WRITE_LIMIT, writing)
+            .await
+            .unwrap_or(Err(Error::Timeout))
     }
 
     /// Passes on a long body. If the server breaks off, so does this side: the last chunk is not
@@ -290,7 +295,9 @@
     async fn stream(&mut self, mut rest: Rest) -> Result<()> {
         loop {
             let mut bytes = Vec::new();
-            rest.body.read(&mut rest.connection, &mut bytes, STREAM_CHUNK).await?;
+            rest.body
+                .read(&mut rest.connection, &mut bytes, STREAM_CHUNK)
+                .await?;
             let mut out = Vec::with_capacity(bytes.len() + 16);
             append_chunk(&mut out, &bytes);
             if rest.body.is_complete() {
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -2,6 +2,8 @@
 
 mod inbox;
 mod inner;
+mod moves;
+mod periodic;
 mod slot;
 mod timing;
 
@@ -11,7 +13,7 @@
 
 use async_io::Async;
 use config::{DomainId, RegionId, ServerId, ServiceId};
-use dispatch::{Decision, Grant, Member, Outcome, PoolSettings, RefuseReason, Server, State};
+use dispatch::{Decision, Member, Outcome, PoolSettings, RefuseReason, Server, State};
 use runtime::Clock;
 use smallvec::SmallVec;
 
@@ -154,7 +156,7 @@
         let decision = rx.recv().await;
         ticket.settle();
         match decision {
-            Ok(Decision::Grant(grant)) => Admission::Slot(self.slot(number, &request, grant)),
+            Ok(Decision::Grant(grant)) => Admission::Slot(Slot::new(self.clone(), number, grant)),
             Ok(Decision::Forward(region)) => self.forward(&request, region),
             Ok(Decision::Refuse {
                 reason,
@@ -170,10 +172,6 @@
         }
     }
 
-    fn slot(self: &Arc<Self>, number: u64, request: &Request, grant: Grant) -> Slot {
-        Slot::new(self.clone(), number, request.service.clone(), grant)
-    }
-
     fn forward(&self, request: &Request, region: RegionId) -> Admission {
         let inner = self.lock();
         match inner.members.keeper(&request.service, &region, self.now()) {
--- a/components/gateway/src/dispatcher/inbox.rs
+++ b/components/gateway/src/dispatcher/inbox.rs
@@ -66,13 +66,7 @@
             .map(|m| m.id.clone())
     }
 
-    fn receive_heartbeat(
-        &mut self,
-        member: Member,
-        sent_us: u64,
-        from: SocketAddr,
-        now: Duration,
-    ) {
+    fn receive_heartbeat(&mut self, member: Member, sent_us: u64, from: SocketAddr, now: Duration) {
         let region = member.region.clone();
         let id = member.id.clone();
         let known = self.members.get(&id).map(|m| m.incarnation);
--- a/components/gateway/src/dispatcher/inner.rs
+++ b/components/gateway/src/dispatcher/inner.rs
@@ -11,25 +11,22 @@
 };
 
 use super::Request;
-use super::timing::{
-    ASK_REPEAT, ASK_TRIES, END_REPEAT, END_TRIES, FAR_HEARTBEAT, NEAR_HEARTBEAT, POOL_REPORT,
-    WAIT_CHECK,
-};
+use super::timing::{ASK_REPEAT, WAIT_CHECK};
 use crate::message::Message;
 use crate::settings::Settings;
 
 /// A request of this entry VM that waits for a decision.
 #[derive(Debug)]
 pub(super) struct Pending {
-    ask: Ask,
+    pub ask: Ask,
     /// Receives the decision.
     tx: Sender<Decision>,
     /// Entry VM that was asked; `None` for the own pool.
-    keeper: Option<EntryVmId>,
+    pub keeper: Option<EntryVmId>,
     /// When the ask was last sent.
-    sent_at: Duration,
+    pub sent_at: Duration,
     /// Asks without an answer.
-    tries: u32,
+    pub tries: u32,
     /// When the request came.
     since: Duration,
 }
@@ -37,20 +34,20 @@
 /// A slot in use by a request of this entry VM.
 #[derive(Debug)]
 pub(super) struct InUse {
-    service: ServiceId,
+    pub service: ServiceId,
     pub grant: Grant,
     /// Entry VM that granted it; `None` for the own pool.
     pub keeper: Option<EntryVmId>,
-    expires: Duration,
+    pub expires: Duration,
 }
 
 /// An end that the keeper has not confirmed.
 #[derive(Debug)]
-struct Unconfirmed {
-    to: SocketAddr,
-    message: Message,
-    sent_at: Duration,
-    tries: u32,
+pub(super) struct Unconfirmed {
+    pub to: SocketAddr,
+    pub message: Message,
+    pub sent_at: Duration,
+    pub tries: u32,
 }
 
 /// State of the dispatcher.
@@ -59,21 +56,21 @@
     pub members: Members,
     pub generation: u64,
     /// Regions of all failure domains.
-    domains: BTreeMap<DomainId, RegionId>,
-    seeds: Vec<SocketAddr>,
+    pub domains: BTreeMap<DomainId, RegionId>,
+    pub seeds: Vec<SocketAddr>,
     pub pools: BTreeMap<ServiceId, Pool>,
     evacuated: Vec<DomainId>,
     next_number: u64,
     pub pending: HashMap<u64, Pending>,
     pub in_use: HashMap<u64, InUse>,
-    unconfirmed: HashMap<AskId, Unconfirmed>,
+    pub unconfirmed: HashMap<AskId, Unconfirmed>,
     pub round_trips: BTreeMap<RegionId, Duration>,
     /// Addresses of the incarnations that have asked.
     pub askers: HashMap<u64, SocketAddr>,
-    next_near: Duration,
-    next_far: Duration,
-    next_report: Duration,
-    outbox: Vec<(SocketAddr, Message)>,
+    pub next_near: Duration,
+    pub next_far: Duration,
+    pub next_report: Duration,
+    pub outbox: Vec<(SocketAddr, Message)>,
 }
 
 impl Inner {
@@ -206,14 +203,14 @@
     }
 
     /// Returns the other entry VM that keeps the pool, or `None` for the own pool.
-    fn keeper(&self, service: &str, now: Duration) -> Option<EntryVmId> {
+    pub fn keeper(&self, service: &str, now: Duration) -> Option<EntryVmId> {
         let own = &self.members.own;
         let keeper = self.members.keeper(service, &own.region, now)?;
         (keeper.id != own.id).then(|| keeper.id.clone())
     }
 
     /// Sends a pending request to its keeper.
-    fn place(&mut self, number: u64, now: Duration) {
+    pub fn place(&mut self, number: u64, now: Duration) {
         let Some(pending) = self.pending.get_mut(&number) else {
             return;
         };
@@ -229,17 +226,14 @@
             .as_ref()
             .and_then(|id| self.members.get(id))
             .map(|m| m.peers);
-        match address {
-            Some(to) => self.send(to, Message::Ask(ask)),
-            None => {
-                pending.keeper = None;
-                let service = ask.service.clone();
-                let mut ask = ask;
-                ask.stopgap = self.keeper(&service, now).is_some();
-                self.pool(&service).ask(ask, now);
-                self.decide(&service, now);
-            }
+        if let Some(to) = address {
+            return self.send(to, Message::Ask(ask));
         }
+        pending.keeper = None;
+        let service = ask.service.clone();
+        let stopgap = self.keeper(&service, now).is_some();
+        self.pool(&service).ask(Ask { stopgap, ..ask }, now);
+        self.decide(&service, now);
     }
 
     /// Ends a request of this entry VM.
@@ -253,13 +247,11 @@
         };
         let id = (self.members.own.incarnation, number);
         let address = keeper.and_then(|k| self.members.get(&k).map(|m| m.peers));
-        match address {
-            Some(to) => self.send_end(to, id, service, outcome, load, now),
-            None => {
-                self.pool(&service).end(id, outcome, load, now);
-                self.decide(&service, now);
-            }
+        if let Some(to) = address {
+            return self.send_end(to, id, service, outcome, load, now);
         }
+        self.pool(&service).end(id, outcome, load, now);
+        self.decide(&service, now);
     }
 
     pub fn send_end(
@@ -425,204 +417,11 @@
             .find(|(_, p)| p.knows(&grant.server))
             .map(|(s, _)| s.clone())
     }
-
-    /// Moves requests and slots to the entry VMs that keep their pools now.
-    pub fn follow_keepers(&mut self, now: Duration) {
-        let services: Vec<ServiceId> = self.pools.keys().cloned().collect();
-        for service in services {
-            let keeper = self.keeper(&service, now);
-            self.move_pending(&service, keeper.as_ref(), now);
-            self.move_slots(&service, keeper.as_ref(), now);
-        }
-    }
-
-    fn move_pending(&mut self, service: &ServiceId, keeper: Option<&EntryVmId>, now: Duration) {
-        let moved: Vec<u64> = self
-            .pending
-            .iter()
-            .filter(|(_, p)| p.ask.service == *service && p.tries < ASK_TRIES)
-            .filter(|(_, p)| p.keeper.as_ref() != keeper)
-            .map(|(n, _)| *n)
-            .collect();
-        for number in moved {
-            let own = self.members.own.incarnation;
-            self.pool(service).end((own, number), Outcome::Unused, None, now);
-            self.pool(service).forget_end((own, number));
-            if let Some(p) = self.pending.get_mut(&number) {
-                p.keeper = keeper.cloned();
-                p.tries = 0;
-            }
-            self.place(number, now);
-        }
-    }
-
-    fn move_slots(&mut self, service: &ServiceId, keeper: Option<&EntryVmId>, now: Duration) {
-        let moved: Vec<(u64, Grant, Duration)> = self
-            .in_use
-            .iter_mut()
-            .filter(|(_, u)| u.service == *service && u.keeper.as_ref() != keeper)
-            .map(|(n, u)| {
-                u.keeper = keeper.cloned();
-                (*n, u.grant.clone(), u.expires.saturating_sub(now))
-            })
-            .collect();
-        let to = keeper.and_then(|k| self.members.get(k)).map(|m| m.peers);
-        for (number, grant, left) in moved {
-            let id = (self.members.own.incarnation, number);
-            match to {
-                Some(to) => {
-                    let service = service.clone();
-                    self.send(
-                        to,
-                        Message::Register {
-                            id,
-                            service,
-                            grant,
-                            left,
-                        },
-                    );
-                }
-                None => self.pool(service).register(id, grant, left, now),
-            }
-        }
-    }
-
-    /// Does what is due.
-    pub fn tick(&mut self, now: Duration) {
-        let near = now >= self.next_near;
-        let far = now >= self.next_far;
-        if near {
-            self.next_near = now + NEAR_HEARTBEAT;
-            self.members.expire(now);
-            let isolated = self.members.isolated(now);
-            for pool in self.pools.values_mut() {
-                pool.set_isolated(isolated);
-            }
-            self.follow_keepers(now);
-        }
-        if far {
-            self.next_far = now + FAR_HEARTBEAT;
-        }
-        if near || far {
-            self.heartbeat(near, far, now);
-        }
-        if now >= self.next_report {
-            self.next_report = now + POOL_REPORT;
-            self.report_pools(now);
-        }
-        self.repeat_asks(now);
-        self.repeat_ends(now);
-        self.decide_all(now);
-    }
-
-    pub fn own_heartbeat(&self, now: Duration) -> Message {
-        Message::Heartbeat {
-            member: self.members.own.clone(),
-            generation: self.generation,
-            sent_us: now.as_micros() as u64,
-        }
-    }
-
-    fn heartbeat(&mut self, near: bool, far: bool, now: Duration) {
-        let own = &self.members.own;
-        let mut to: Vec<SocketAddr> = self
-            .members
-            .others()
-            .filter(|m| if m.region == own.region { near } else { far })
-            .map(|m| m.peers)
-            .collect();
-        if far && to.is_empty() && self.members.others().next().is_none() {
-            to.extend(self.seeds.iter().filter(|&&s| s != own.peers));
-        }
-        let heartbeat = self.own_heartbeat(now);
-        for address in to {
-            self.send(address, heartbeat.clone());
-        }
-    }
-
-    /// Reports the pools that this entry VM keeps to those that keep them in other regions.
-    fn report_pools(&mut self, now: Duration) {
-        let own = self.members.own.clone();
-        if own.state != State::Ready {
-            return;
-        }
-        let mut regions: Vec<RegionId> = self.domains.values().cloned().collect();
-        regions.sort();
-        regions.dedup();
-        let mut reports: BTreeMap<SocketAddr, Vec<(ServiceId, dispatch::Snapshot)>> =
-            BTreeMap::new();
-        for (service, pool) in &mut self.pools {
-            let keeper = self.members.keeper(service, &own.region, now);
-            if keeper.is_none_or(|k| k.id != own.id) {
-                continue;
-            }
-            let snapshot = pool.snapshot(now);
-            for region in regions.iter().filter(|r| **r != own.region) {
-                if let Some(to) = self.members.keeper(service, region, now) {
-                    let pools = reports.entry(to.peers).or_default();
-                    pools.push((service.clone(), snapshot));
-                }
-            }
-        }
-        for (to, pools) in reports {
-            let region = own.region.clone();
-            let incarnation = own.incarnation;
-            self.send(
-                to,
-                Message::Pools {
-                    region,
-                    incarnation,
-                    pools,
-                },
-            );
-        }
-    }
-
-    fn repeat_asks(&mut self, now: Duration) {
-        let due: Vec<u64> = self
-            .pending
-            .iter()
-            .filter(|(_, p)| p.keeper.is_some() && now >= p.sent_at + p.period())
-            .map(|(n, _)| *n)
-            .collect();
-        for number in due {
-            let Some(pending) = self.pending.get_mut(&number) else {
-                continue;
-            };
-            pending.tries += 1;
-            if pending.tries >= ASK_TRIES {
-                metrics::counter!("asks_unanswered").increment(1);
-                log::info!(
-                    "event=keeper_silent keeper={} service={} tries={}",
-                    pending.keeper.as_deref().unwrap_or(""),
-                    pending.ask.service,
-                    pending.tries
-                );
-                pending.keeper = None;
-            }
-            self.place(number, now);
-        }
-    }
-
-    fn repeat_ends(&mut self, now: Duration) {
-        let outbox = &mut self.outbox;
-        self.unconfirmed.retain(|_, u| {
-            if now < u.sent_at + END_REPEAT {
-                return true;
-            }
-            u.tries += 1;
-            u.sent_at = now;
-            if u.tries <= END_TRIES {
-                outbox.push((u.to, u.message.clone()));
-            }
-            u.tries <= END_TRIES
-        });
-    }
 }
 
 impl Pending {
     /// Time between two asks.
-    fn period(&self) -> Duration {
+    pub fn period(&self) -> Duration {
         if self.tries == 0 && self.sent_at > self.since {
             WAIT_CHECK
         } else {
@@ -632,7 +431,9 @@
 
     /// Records that the keeper knows the request.
     pub fn acknowledge(&mut self, now: Duration) {
-        let passed = now.saturating_sub(self.sent_at).max(Duration::from_nanos(1));
+        let passed = now
+            .saturating_sub(self.sent_at)
+            .max(Duration::from_nanos(1));
         self.ask.target_left = self.ask.target_left.saturating_sub(passed);
         self.ask.deadline_left = self.ask.deadline_left.saturating_sub(passed);
         self.ask.waited += passed;
--- /dev/null
+++ b/components/gateway/src/dispatcher/periodic.rs
@@ -0,0 +1,146 @@
+//! Heartbeats, reports and the repetition of messages that were lost.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use config::{RegionId, ServiceId};
+use dispatch::State;
+
+use super::inner::Inner;
+use super::timing::{ASK_TRIES, END_REPEAT, END_TRIES, FAR_HEARTBEAT, NEAR_HEARTBEAT, POOL_REPORT};
+use crate::message::Message;
+
+impl Inner {
+    /// Does what is due.
+    pub fn tick(&mut self, now: Duration) {
+        let near = now >= self.next_near;
+        let far = now >= self.next_far;
+        if near {
+            self.next_near = now + NEAR_HEARTBEAT;
+            self.members.expire(now);
+            let isolated = self.members.isolated(now);
+            for pool in self.pools.values_mut() {
+                pool.set_isolated(isolated);
+            }
+            self.follow_keepers(now);
+        }
+        if far {
+            self.next_far = now + FAR_HEARTBEAT;
+        }
+        if near || far {
+            self.heartbeat(near, far, now);
+        }
+        if now >= self.next_report {
+            self.next_report = now + POOL_REPORT;
+            self.report_pools(now);
+        }
+        self.repeat_asks(now);
+        self.repeat_ends(now);
+        self.decide_all(now);
+    }
+
+    pub fn own_heartbeat(&self, now: Duration) -> Message {
+        Message::Heartbeat {
+            member: self.members.own.clone(),
+            generation: self.generation,
+            sent_us: now.as_micros() as u64,
+        }
+    }
+
+    pub fn heartbeat(&mut self, near: bool, far: bool, now: Duration) {
+        let own = &self.members.own;
+        let mut to: Vec<SocketAddr> = self
+            .members
+            .others()
+            .filter(|m| if m.region == own.region { near } else { far })
+            .map(|m| m.peers)
+            .collect();
+        if far && to.is_empty() && self.members.others().next().is_none() {
+            to.extend(self.seeds.iter().filter(|&&s| s != own.peers));
+        }
+        let heartbeat = self.own_heartbeat(now);
+        for address in to {
+            self.send(address, heartbeat.clone());
+        }
+    }
+
+    /// Reports the pools that this entry VM keeps to those that keep them in other regions.
+    fn report_pools(&mut self, now: Duration) {
+        let own = self.members.own.clone();
+        if own.state != State::Ready {
+            return;
+        }
+        let mut regions: Vec<RegionId> = self.domains.values().cloned().collect();
+        regions.sort();
+        regions.dedup();
+        let mut reports: BTreeMap<SocketAddr, Vec<(ServiceId, dispatch::Snapshot)>> =
+            BTreeMap::new();
+        for (service, pool) in &mut self.pools {
+            let keeper = self.members.keeper(service, &own.region, now);
+            if keeper.is_none_or(|k| k.id != own.id) {
+                continue;
+            }
+            let snapshot = pool.snapshot(now);
+            for region in regions.iter().filter(|r| **r != own.region) {
+                if let Some(to) = self.members.keeper(service, region, now) {
+                    let pools = reports.entry(to.peers).or_default();
+                    pools.push((service.clone(), snapshot));
+                }
+            }
+        }
+        for (to, pools) in reports {
+            let region = own.region.clone();
+            let incarnation = own.incarnation;
+            self.send(
+                to,
+                Message::Pools {
+                    region,
+                    incarnation,
+                    pools,
+                },
+            );
+        }
+    }
+
+    fn repeat_asks(&mut self, now: Duration) {
+        let due: Vec<u64> = self
+            .pending
+            .iter()
+            .filter(|(_, p)| p.keeper.is_some() && now >= p.sent_at + p.period())
+            .map(|(n, _)| *n)
+            .collect();
+        for number in due {
+            let Some(pending) = self.pending.get_mut(&number) else {
+                continue;
+            };
+            pending.tries += 1;
+            if pending.tries >= ASK_TRIES {
+                metrics::counter!("asks_unanswered").increment(1);
+                log::info!(
+                    "event=keeper_silent keeper={} service={} tries={}",
+                    pending.keeper.as_deref().unwrap_or(""),
+                    pending.ask.service,
+                    pending.tries
+                );
+                pending.keeper = None;
+            }
+            self.place(number, now);
+        }
+    }
+
+    fn repeat_ends(&mut self, now: Duration) {
+        let outbox = &mut self.outbox;
+        self.unconfirmed.retain(|_, u| {
+            if now < u.sent_at + END_REPEAT {
+                return true;
+            }
+            u.tries += 1;
+            u.sent_at = now;
+            if u.tries <= END_TRIES {
+                outbox.push((u.to, u.message.clone()));
+            }
+            u.tries <= END_TRIES
+        });
+    }
+}
--- a/components/gateway/src/dispatcher/slot.rs
+++ b/components/gateway/src/dispatcher/slot.rs
@@ -1,9 +1,7 @@
 //! Guards that end a request when they are dropped.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use config::ServiceId;
 use dispatch::{Grant, Load, Outcome};
 
 use super::Dispatcher;
@@ -43,33 +41,21 @@
 pub struct Slot {
     dispatcher: Arc<Dispatcher>,
     number: u64,
-    /// Service of the server.
-    pub service: ServiceId,
     /// The server.
     pub grant: Grant,
     /// Outcome that is reported when the slot is dropped.
     outcome: Outcome,
     load: Option<Load>,
-    /// When the slot was granted.
-    pub since: Duration,
 }
 
 impl Slot {
-    pub(super) fn new(
-        dispatcher: Arc<Dispatcher>,
-        number: u64,
-        service: ServiceId,
-        grant: Grant,
-    ) -> Self {
-        let since = dispatcher.now();
+    pub(super) fn new(dispatcher: Arc<Dispatcher>, number: u64, grant: Grant) -> Self {
         Slot {
             dispatcher,
             number,
-            service,
             grant,
             outcome: Outcome::Unused,
             load: None,
-            since,
         }
     }
 
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -64,14 +64,13 @@
     now: impl Fn() -> Duration,
 ) -> Result<Received, Failure> {
     let reused = idle.take(out.address, out.idle_limit, now()).await;
-    let mut connection = match reused {
-        Some(connection) => connection,
-        None => {
-            metrics::counter!("server_connections").increment(1);
-            Connection::open(out.address, out.connect_limit)
-                .await
-                .map_err(Failure::Unreachable)?
-        }
+    let mut connection = if let Some(connection) = reused {
+        connection
+    } else {
+        metrics::counter!("server_connections").increment(1);
+        Connection::open(out.address, out.connect_limit)
+            .await
+            .map_err(Failure::Unreachable)?
     };
     let mut written = false;
     let head = send_and_read_head(&mut connection, out, names, &mut written)
--- a/components/gateway/src/http/body.rs
+++ b/components/gateway/src/http/body.rs
@@ -57,7 +57,12 @@
     }
 
     /// Reads until the body is complete or `out` holds at least `limit` bytes.
-    pub async fn read(&mut self, conn: &mut Connection, out: &mut Vec<u8>, limit: usize) -> Result<()> {
+    pub async fn read(
+        &mut self,
+        conn: &mut Connection,
+        out: &mut Vec<u8>,
+        limit: usize,
+    ) -> Result<()> {
         while !self.is_complete() && out.len() < limit {
             if conn.buffered().is_empty() && conn.fill().await? == 0 {
                 return self.end();
@@ -97,13 +102,21 @@
             State::Length(left) => {
                 let n = left.min(available);
                 conn.take_into(n as usize, out);
-                self.state = if n == left { State::Complete } else { State::Length(left - n) };
+                self.state = if n == left {
+                    State::Complete
+                } else {
+                    State::Length(left - n)
+                };
                 Ok(true)
             }
             State::Chunk(left) => {
                 let n = left.min(available);
                 conn.take_into(n as usize, out);
-                self.state = if n == left { State::ChunkEnd } else { State::Chunk(left - n) };
+                self.state = if n == left {
+                    State::ChunkEnd
+                } else {
+                    State::Chunk(left - n)
+                };
                 Ok(true)
             }
             State::ChunkEnd => self.step_chunk_end(conn),
@@ -128,7 +141,11 @@
         match httparse::parse_chunk_size(conn.buffered()) {
             Ok(httparse::Status::Complete((n, size))) => {
                 conn.consume(n);
-                self.state = if size == 0 { State::Trailer } else { State::Chunk(size) };
+                self.state = if size == 0 {
+                    State::Trailer
+                } else {
+                    State::Chunk(size)
+                };
                 Ok(true)
             }
             Ok(httparse::Status::Partial) => conn.need_more(MAX_CHUNK_LINE),
--- a/components/gateway/src/http/connection.rs
+++ b/components/gateway/src/http/connection.rs
@@ -165,7 +165,11 @@
     async fn fill_inside_message(&mut self) -> Result<()> {
         let started = !self.buffered().is_empty();
         if self.fill().await? == 0 {
-            return Err(if started { Error::Truncated } else { Error::Closed });
+            return Err(if started {
+                Error::Truncated
+            } else {
+                Error::Closed
+            });
         }
         Ok(())
     }
--- a/components/gateway/src/http/head.rs
+++ b/components/gateway/src/http/head.rs
@@ -82,12 +82,17 @@
 /// Returns the length given by `Content-Length`; several different ones are refused.
 fn content_length(headers: &[Header]) -> Result<Option<u64>> {
     let mut length = None;
-    for h in headers.iter().filter(|h| h.name.eq_ignore_ascii_case("content-length")) {
+    for h in headers
+        .iter()
+        .filter(|h| h.name.eq_ignore_ascii_case("content-length"))
+    {
         let text = std::str::from_utf8(&h.value).unwrap_or("");
         if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) {
             return Err(Error::Malformed("content-length"));
         }
-        let n: u64 = text.parse().map_err(|_| Error::Malformed("content-length"))?;
+        let n: u64 = text
+            .parse()
+            .map_err(|_| Error::Malformed("content-length"))?;
         if length.is_some_and(|l| l != n) {
             return Err(Error::Malformed("two content-lengths"));
         }
--- a/components/gateway/src/idle.rs
+++ b/components/gateway/src/idle.rs
@@ -74,6 +74,8 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
-        self.by_address.lock().unwrap_or_else(PoisonError::into_inner)
+        self.by_address
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -82,7 +82,7 @@
     runtime::spawn(callers::serve(node.clone(), callers, Origin::Caller)).detach();
     let peers = bind(cfg.peers).await?;
     runtime::spawn(callers::serve(node.clone(), peers, Origin::EntryVm)).detach();
-    let simple: [(SocketAddr, fn(&Node, &http::RequestHead) -> answer::Answer); 3] = [
+    let simple: [(SocketAddr, service::Respond); 3] = [
         (cfg.readiness, service::readiness),
         (cfg.look_ups, service::look_up),
         (cfg.metrics, service::metrics),
@@ -114,7 +114,11 @@
     // Nothing is sent; the channel closes at a signal.
     let _ = stop.recv().await;
     let grace = node.settings.grace_period;
-    log::info!("event=stopping open_requests={} grace_ms={}", node.open_requests(), grace.as_millis());
+    log::info!(
+        "event=stopping open_requests={} grace_ms={}",
+        node.open_requests(),
+        grace.as_millis()
+    );
     node.leave();
     let started = node.now();
     runtime::sleep(grace.mul_f64(IDLE_STOP_SHARE)).await;
--- a/components/gateway/src/message.rs
+++ b/components/gateway/src/message.rs
@@ -1,4 +1,4 @@
-//! Datagrams between entry VMs, encoded as MessagePack.
+//! Datagrams between entry VMs, encoded with `rmp-serde`.
 
 use config::{EntryVmId, Incarnation, RegionId, ServiceId};
 use dispatch::{Ask, AskId, Decision, Grant, Load, Member, Outcome, Snapshot};
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -49,7 +49,11 @@
 
 impl Node {
     /// Creates the state of an entry VM that has no configuration and knows no servers.
-    pub(crate) fn new(settings: Settings, dialect: Dialect, dispatcher: Arc<Dispatcher>) -> Arc<Self> {
+    pub(crate) fn new(
+        settings: Settings,
+        dialect: Dialect,
+        dispatcher: Arc<Dispatcher>,
+    ) -> Arc<Self> {
         let (tx, rx) = async_channel::bounded(1);
         Arc::new(Node {
             settings,
@@ -83,7 +87,8 @@
 
     /// Returns the limits for callers in force.
     pub fn limits(&self) -> ClientLimits {
-        self.routes().map_or_else(ClientLimits::default, |r| r.limits)
+        self.routes()
+            .map_or_else(ClientLimits::default, |r| r.limits)
     }
 
     /// Puts a configuration in force, unless a newer one is; returns whether it did.
@@ -240,7 +245,9 @@
 
 impl Drop for BodyMemory {
     fn drop(&mut self) {
-        self.node.body_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.node
+            .body_bytes
+            .fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
 
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -1,6 +1,8 @@
 //! The way of one request: route, admission, exchange with a server, answer.
 
 mod attempt;
+mod encode;
+mod forward;
 mod trace;
 
 use std::sync::Arc;
@@ -187,14 +189,14 @@
                 reason,
                 retry_after,
             }) => {
-                trace.refused(reason);
+                metrics::counter!("refusals", "reason" => reason.label()).increment(1);
                 return refused(tried, reason, retry_after);
             }
             Some(Admission::Slot(slot)) => {
                 attempt::send_to_server(node, req, plan, &mut tried, slot, trace).await
             }
             Some(Admission::Forward(region, peer)) => {
-                attempt::forward(node, req, plan, &mut tried, &region, peer, trace).await
+                forward::forward(node, req, plan, &mut tried, &region, peer, trace).await
             }
         };
         match step {
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -1,6 +1,5 @@
-//! One attempt: at a server, or by way of an entry VM of another region.
+//! Attempts at servers.
 
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -11,22 +10,20 @@
 use futures_lite::future::pending;
 use smallvec::SmallVec;
 
+use super::encode::encode;
 use super::trace::Trace;
-use super::{MAX_UNREACHABLE, Plan, Request, SHORT_RETRY, TARGET_HEADER, Tried, WAITED_HEADER};
+use super::{MAX_UNREACHABLE, Plan, Request, SHORT_RETRY, Tried};
 use crate::answer::{Answer, Rest};
-use crate::codes::{Code, NOT_RUN, OUTCOME_HEADER};
+use crate::codes::Code;
 use crate::dispatcher::{Admission, Request as SlotRequest, Slot};
 use crate::exchange::{Failure, Outgoing, Received, exchange};
-use crate::http::is_hop_by_hop;
 use crate::node::Node;
 
 /// Time for opening a connection within a region; a lost first packet is not waited for.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
-/// Time for opening a connection to another region: one round trip and the same allowance.
-const FAR_CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// Longest idle time of a connection on which a binding request is sent. A server that closes the
 /// connection meanwhile would leave its outcome unknown.
-const BINDING_IDLE: Duration = Duration::from_secs(1);
+pub(super) const BINDING_IDLE: Duration = Duration::from_secs(1);
 /// Multiple of the usual service time after which an idempotent request is also sent to another
 /// server.
 const SLOW_FACTOR: f64 = 2.5;
@@ -40,7 +37,7 @@
 }
 
 impl Step {
-    fn done(answer: Answer) -> Self {
+    pub fn done(answer: Answer) -> Self {
         Step::Done(Box::new(answer))
     }
 }
@@ -232,7 +229,7 @@
     if slow + usual < left { slow } else { left }
 }
 
-fn lost(tried: &mut Tried, again: bool, code: Code) -> Step {
+pub(super) fn lost(tried: &mut Tried, again: bool, code: Code) -> Step {
     tried.sends += 1;
     tried.may_have_run = true;
     if again {
@@ -263,7 +260,11 @@
 ) -> Step {
     let status = received.head.status;
     let failed = status >= 500;
-    trace.attempt(&slot.grant.server, if failed { "error" } else { "answered" }, took);
+    trace.attempt(
+        &slot.grant.server,
+        if failed { "error" } else { "answered" },
+        took,
+    );
     slot.set_outcome(if failed {
         Outcome::Failed
     } else {
@@ -275,7 +276,7 @@
     let rest = received.rest.map(|(connection, body)| Rest {
         connection,
         body,
-        slot: Some(slot),
+        _slot: Some(slot),
     });
     let complete = rest.is_none();
     let answer = Answer::passed_on(received.head, &method, received.body, rest);
@@ -285,120 +286,3 @@
     }
     Step::done(answer)
 }
-
-/// Passes the request on to the entry VM `peer` of another region.
-pub(super) async fn forward(
-    node: &Arc<Node>,
-    req: &Request,
-    plan: &Plan,
-    tried: &mut Tried,
-    region: &str,
-    peer: SocketAddr,
-    trace: &mut Trace,
-) -> Step {
-    let now = node.now();
-    let left = plan.give_up_at.saturating_sub(now);
-    tried.forwarded = true;
-    let outgoing = Outgoing {
-        address: peer,
-        method: &req.head.method,
-        id: &plan.id,
-        bytes: encode(node, req, plan, None, left),
-        connect_limit: FAR_CONNECT_LIMIT.min(left),
-        idle_limit: if plan.route.binding {
-            BINDING_IDLE
-        } else {
-            Duration::MAX
-        },
-        signed: false,
-    };
-    let names = &node.dialect.headers;
-    let result = runtime::timeout(left, exchange(&outgoing, names, &node.idle, || node.now())).await;
-    let took = node.now().saturating_sub(now);
-    match result {
-        Some(Ok(received)) => {
-            let not_run = received.head.get(OUTCOME_HEADER) == Some(NOT_RUN);
-            trace.attempt(region, if not_run { "forward_refused" } else { "forwarded" }, took);
-            if not_run && tried.sends == 0 {
-                // The own region may have a slot by now.
-                return Step::Again;
-            }
-            let rest = received.rest.map(|(connection, body)| Rest {
-                connection,
-                body,
-                slot: None,
-            });
-            Step::done(Answer::passed_on(
-                received.head,
-                &req.head.method,
-                received.body,
-                rest,
-            ))
-        }
-        Some(Err(Failure::Unreachable(e))) => {
-            trace.failed(region, "forward_unreachable", &e.to_string(), took);
-            Step::Again
-        }
-        Some(Err(Failure::Lost(e))) => {
-            trace.failed(region, "forward_lost", &e.to_string(), took);
-            let again = !plan.route.binding && plan.route.max_attempts > 1;
-            lost(tried, again, Code::AnswerLost)
-        }
-        None => {
-            trace.attempt(region, "forward_silent", took);
-            lost(tried, false, Code::Timeout)
-        }
-    }
-}
-
-/// Encodes the request for a server, or for another entry VM if `server` is `None`.
-fn encode(
-    node: &Node,
-    req: &Request,
-    plan: &Plan,
-    server: Option<&str>,
-    left: Duration,
-) -> Vec<u8> {
-    use std::io::Write as _;
-    let names = &node.dialect.headers;
-    let head = &req.head;
-    let dropped = [
-        names.deadline_ms,
-        names.expected_server,
-        "content-length",
-        "expect",
-        TARGET_HEADER,
-        WAITED_HEADER,
-    ];
-    let mut out = Vec::with_capacity(512 + req.body.len());
-    // Writing to a vector cannot fail.
-    let _ = write!(out, "{} {} HTTP/1.1\r\n", head.method, head.target);
-    for h in &head.headers {
-        let skip = is_hop_by_hop(&h.name) || dropped.iter().any(|d| h.name.eq_ignore_ascii_case(d));
-        if !skip {
-            out.extend_from_slice(h.name.as_bytes());
-            out.extend_from_slice(b": ");
-            out.extend_from_slice(&h.value);
-            out.extend_from_slice(b"\r\n");
-        }
-    }
-    let _ = write!(out, "{}: {}\r\n", names.deadline_ms, left.as_millis());
-    match server {
-        Some(id) => {
-            let _ = write!(out, "{}: {id}\r\n", names.expected_server);
-        }
-        None => {
-            let now = node.now();
-            let target = plan.target_at.saturating_sub(now).as_millis();
-            let waited = now.saturating_sub(plan.since).as_millis();
-            let _ = write!(out, "{TARGET_HEADER}: {target}\r\n{WAITED_HEADER}: {waited}\r\n");
-        }
-    }
-    let has_body = !req.body.is_empty() || matches!(&*head.method, "POST" | "PUT" | "PATCH");
-    if has_body {
-        let _ = write!(out, "Content-Length: {}\r\n", req.body.len());
-    }
-    out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(&req.body);
-    out
-}
--- /dev/null
+++ b/components/gateway/src/relay/encode.rs
@@ -0,0 +1,59 @@
+//! Requests as they are sent on.
+
+use std::io::Write as _;
+use std::time::Duration;
+
+use super::{Plan, Request, TARGET_HEADER, WAITED_HEADER};
+use crate::http::is_hop_by_hop;
+use crate::node::Node;
+
+/// Encodes the request for a server, or for another entry VM if `server` is `None`.
+pub(super) fn encode(
+    node: &Node,
+    req: &Request,
+    plan: &Plan,
+    server: Option<&str>,
+    left: Duration,
+) -> Vec<u8> {
+    let names = &node.dialect.headers;
+    let head = &req.head;
+    let dropped = [
+        names.deadline_ms,
+        names.expected_server,
+        "content-length",
+        "expect",
+        TARGET_HEADER,
+        WAITED_HEADER,
+    ];
+    let mut out = Vec::with_capacity(512 + req.body.len());
+    // Writing to a vector cannot fail.
+    let _ = write!(out, "{} {} HTTP/1.1\r\n", head.method, head.target);
+    for h in &head.headers {
+        let skip = is_hop_by_hop(&h.name) || dropped.iter().any(|d| h.name.eq_ignore_ascii_case(d));
+        if !skip {
+            out.extend_from_slice(h.name.as_bytes());
+            out.extend_from_slice(b": ");
+            out.extend_from_slice(&h.value);
+            out.extend_from_slice(b"\r\n");
+        }
+    }
+    let _ = write!(out, "{}: {}\r\n", names.deadline_ms, left.as_millis());
+    if let Some(id) = server {
+        let _ = write!(out, "{}: {id}\r\n", names.expected_server);
+    } else {
+        let now = node.now();
+        let target = plan.target_at.saturating_sub(now).as_millis();
+        let waited = now.saturating_sub(plan.since).as_millis();
+        let _ = write!(
+            out,
+            "{TARGET_HEADER}: {target}\r\n{WAITED_HEADER}: {waited}\r\n"
+        );
+    }
+    let has_body = !req.body.is_empty() || matches!(&*head.method, "POST" | "PUT" | "PATCH");
+    if has_body {
+        let _ = write!(out, "Content-Length: {}\r\n", req.body.len());
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(&req.body);
+    out
+}
--- a/components/gateway/src/relay/trace.rs
+++ b/components/gateway/src/relay/trace.rs
@@ -3,8 +3,6 @@
 use std::fmt::Write as _;
 use std::time::Duration;
 
-use dispatch::RefuseReason;
-
 use super::{Origin, Plan, Request};
 use crate::answer::Answer;
 use crate::node::Node;
@@ -58,7 +56,11 @@
     pub fn attempt(&mut self, place: &str, outcome: &'static str, took: Duration) {
         let comma = if self.attempts.is_empty() { "" } else { "," };
         // Writing to a string cannot fail.
-        let _ = write!(self.attempts, "{comma}{place}:{outcome}:{}", took.as_millis());
+        let _ = write!(
+            self.attempts,
+            "{comma}{place}:{outcome}:{}",
+            took.as_millis()
+        );
         metrics::counter!("attempts", "outcome" => outcome).increment(1);
     }
 
@@ -72,11 +74,6 @@
         self.attempt(place, outcome, took);
     }
 
-    /// Counts a refusal.
-    pub fn refused(&self, reason: RefuseReason) {
-        metrics::counter!("refusals", "reason" => reason.label()).increment(1);
-    }
-
     /// Logs the answer.
     pub fn finish(mut self, node: &Node, answer: &Answer) {
         self.finished = true;
@@ -103,7 +100,11 @@
             self.object,
             self.target_ms,
             self.deadline_ms,
-            if self.attempts.is_empty() { "none" } else { &self.attempts }
+            if self.attempts.is_empty() {
+                "none"
+            } else {
+                &self.attempts
+            }
         )
     }
 }
--- a/components/gateway/src/service.rs
+++ b/components/gateway/src/service.rs
@@ -19,12 +19,11 @@
 /// Addresses in the answer to a look-up; callers use no more.
 const MAX_ADDRESSES: usize = 64;
 
+/// Answers a request of a simple listener.
+pub type Respond = fn(&Node, &RequestHead) -> Answer;
+
 /// Answers requests on `listener` with `respond` until the process ends.
-pub async fn serve(
-    node: Arc<Node>,
-    listener: TcpListener,
-    respond: fn(&Node, &RequestHead) -> Answer,
-) {
+pub async fn serve(node: Arc<Node>, listener: TcpListener, respond: Respond) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -45,11 +44,7 @@
     }
 }
 
-async fn serve_connection(
-    node: &Node,
-    mut connection: Connection,
-    respond: fn(&Node, &RequestHead) -> Answer,
-) -> Result<()> {
+async fn serve_connection(node: &Node, mut connection: Connection, respond: Respond) -> Result<()> {
     loop {
         let head = loop {
             if let Some(head) = connection.parse_request_head(MAX_HEAD)? {
@@ -61,7 +56,9 @@
             }
         };
         let keep = head.keeps_alive();
-        connection.write(&respond(node, &head).encode(!keep)).await?;
+        connection
+            .write(&respond(node, &head).encode(!keep))
+            .await?;
         if !keep {
             return Ok(());
         }
@@ -99,7 +96,11 @@
     let wanted = (node.dialect.parse_look_up)(query);
     let addresses = choose(node, &wanted);
     if addresses.is_empty() {
-        log::info!("event=look_up_empty host={} domain={}", wanted.host, wanted.domain);
+        log::info!(
+            "event=look_up_empty host={} domain={}",
+            wanted.host,
+            wanted.domain
+        );
         return Answer::plain(503, "Service Unavailable", Vec::new());
     }
     metrics::counter!("look_ups").increment(1);
--- a/components/gateway/tests/relay/answers.rs
+++ b/components/gateway/tests/relay/answers.rs
@@ -1,5 +1,6 @@
 //! Answers of servers: whole, cut, of other requests, refusals.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::world::{Act, Backend, World, answer, answer_bytes, shed};
@@ -13,7 +14,11 @@
     assert_eq!((status, &*body), (200, "done"));
     assert!(head.contains("X-Signature: s"), "{head}");
     let requests = backend.requests.lock().unwrap();
-    assert!(requests[0].starts_with("POST /order/7?x=1 HTTP/1.1\r\n"), "{}", requests[0]);
+    assert!(
+        requests[0].starts_with("POST /order/7?x=1 HTTP/1.1\r\n"),
+        "{}",
+        requests[0]
+    );
     assert!(requests[0].contains("x-server: s0\r\n"), "{}", requests[0]);
     assert!(requests[0].ends_with("\r\n\r\nhello"), "{}", requests[0]);
 }
@@ -64,7 +69,10 @@
         bytes.truncate(bytes.len() - 4);
         vec![Act::Send(bytes), Act::End]
     };
-    let (bad, good) = (Backend::start(cut), Backend::start(|_, id| answer(id, "whole body")));
+    let (bad, good) = (
+        Backend::start(cut),
+        Backend::start(|_, id| answer(id, "whole body")),
+    );
     let world = World::start(&[&bad, &good]);
     for i in 0..4 {
         let (status, _, body) = world.call("GET", "/read/1", &format!("a{i}"));
@@ -174,8 +182,8 @@
 fn an_unreachable_server_is_passed_over() {
     let gone = Backend {
         address: ([127, 0, 0, 1], 9).into(),
-        requests: Default::default(),
-        cancelled: Default::default(),
+        requests: Arc::default(),
+        cancelled: Arc::default(),
     };
     let live = Backend::start(|_, id| answer(id, "done"));
     let world = World::start(&[&gone, &live]);
--- a/components/gateway/tests/relay/callers.rs
+++ b/components/gateway/tests/relay/callers.rs
@@ -19,13 +19,19 @@
     let world = World::start(&[&backend]);
     let mut stream = world.connect();
     let start = Instant::now();
-    let all = ["a1", "a2", "a3"].map(|id| request("GET", "/read/1", id)).concat();
+    let all = ["a1", "a2", "a3"]
+        .map(|id| request("GET", "/read/1", id))
+        .concat();
     stream.write_all(&all).unwrap();
     for id in ["a1", "a2", "a3"] {
         let (status, _, body) = receive(&mut stream).unwrap();
         assert_eq!((status, &*body), (200, id));
     }
-    assert!(start.elapsed() < Duration::from_millis(390), "{:?}", start.elapsed());
+    assert!(
+        start.elapsed() < Duration::from_millis(390),
+        "{:?}",
+        start.elapsed()
+    );
 }
 
 /// Guards against GONE: a server goes on working although the caller has left.
--- a/components/gateway/tests/relay/stop.rs
+++ b/components/gateway/tests/relay/stop.rs
@@ -19,7 +19,9 @@
     let world = World::start(&[&backend]);
     assert_eq!(ready(&world), 200);
     let mut stream = world.connect();
-    stream.write_all(&request("POST", "/order/1", "a1")).unwrap();
+    stream
+        .write_all(&request("POST", "/order/1", "a1"))
+        .unwrap();
     while backend.count() == 0 {
         thread::sleep(Duration::from_millis(5));
     }
--- a/components/gateway/tests/relay/world.rs
+++ b/components/gateway/tests/relay/world.rs
@@ -183,7 +183,7 @@
             look_ups: free_address(),
             peers: free_address(),
             metrics: free_address(),
-            grace_period: Duration::from_millis(3000),
+            grace_period: Duration::from_secs(3),
             retry_slack: 100.0,
             ..Settings::default()
         };
@@ -221,9 +221,15 @@
 
 /// Bytes of a request.
 pub fn request(method: &str, path: &str, id: &str) -> Vec<u8> {
-    let body = if method == "POST" { "Content-Length: 5\r\n\r\nhello" } else { "\r\n" };
-    format!("{method} {path} HTTP/1.1\r\nHost: shop.example\r\nX-Id: {id}\r\nX-Deadline: 2000\r\n{body}")
-        .into_bytes()
+    let body = if method == "POST" {
+        "Content-Length: 5\r\n\r\nhello"
+    } else {
+        "\r\n"
+    };
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nX-Id: {id}\r\nX-Deadline: 2000\r\n{body}"
+    )
+    .into_bytes()
 }
 
 /// Receives an answer: status, head and body.
@@ -261,7 +267,7 @@
         }]
         .into_iter()
         .collect(),
-        homes: Default::default(),
+        homes: smallvec::SmallVec::new(),
         sticky: true,
     };
     let service = Service {
