Pass everything on from a region whose last server has gone

Changed: no limit for a region without servers; the limit's slope is 0.6 of the bound, still within it in the test over a rise and a drop of traffic.

--- a/components/dispatch/src/pool.rs
+++ b/components/dispatch/src/pool.rs
@@ -309,7 +309,8 @@
         let mut queue = std::mem::take(&mut self.queue);
         queue.sort(usual, now);
         let capacity = self.capacity(now);
-        if capacity != self.last_capacity {
+        // A region without servers has nothing to keep its requests for.
+        if capacity != self.last_capacity || capacity == 0 {
             self.last_capacity = capacity;
             self.shift.lift(now);
         }
--- a/components/dispatch/src/shift.rs
+++ b/components/dispatch/src/shift.rs
@@ -11,7 +11,7 @@
 const WINDOW: Duration = Duration::from_secs(2);
 /// Part of the allowed change that the level of a region moves within a window; the rest is room
 /// for bursts.
-const SLOPE_SHARE: f64 = 0.5;
+const SLOPE_SHARE: f64 = 0.6;
 /// Part of the requests of a window by which a region may be ahead of or behind its level.
 const BURST_SHARE: f64 = 0.03;
 /// Least such number of requests; a share of few requests is coarse.
--- a/components/dispatch/tests/pool/decisions.rs
+++ b/components/dispatch/tests/pool/decisions.rs
@@ -253,6 +253,48 @@
     assert!(forwarded > 100, "{forwarded} of 400 requests passed on");
 }
 
+/// Guards against refusals in a region whose last server has gone: on the bench, 54 of 96 orders of
+/// such a region were refused within 1.5 s, because the limit for shifts kept them there.
+#[test]
+fn a_region_without_servers_passes_everything_on() {
+    let cfg = PoolSettings {
+        max_shift: 0.15,
+        ..PoolSettings::default()
+    };
+    let mut pool = pool(&[server("a", 20)], cfg);
+    let remote = Snapshot {
+        slots: 20,
+        free: 0,
+        waiting: 1,
+        demand: 50_000,
+        capacity: 400_000,
+    };
+    let mut outcomes = Vec::new();
+    for i in 0..3000u64 {
+        let now = ms(i * 10);
+        if i == 1000 {
+            pool.remove_server("a");
+        }
+        pool.note_remote("east".into(), remote, ms(100), now);
+        let own = Ask {
+            regions: ["east".into()].into_iter().collect(),
+            ..ask(i)
+        };
+        pool.ask(own, now);
+        for (id, decision) in pool.schedule(now) {
+            if matches!(decision, Decision::Grant(_)) {
+                answer(&mut pool, id.1, ms(20), now);
+            }
+            outcomes.push((id.1, decision));
+        }
+    }
+    let refused = outcomes
+        .iter()
+        .filter(|(id, d)| *id >= 1200 && matches!(d, Decision::Refuse { .. }))
+        .count();
+    assert_eq!(refused, 0);
+}
+
 proptest! {
     /// Guards against FAILBACK over random histories: a cold server gets no more than its rate in
     /// any second, whatever fails, ends or comes again.
