--- a/components/dispatch/src/pool.rs
+++ b/components/dispatch/src/pool.rs
@@ -162,6 +162,7 @@
     pub fn ask(&mut self, ask: Ask, now: Duration) {
         if self.last_ask.is_none_or(|at| at + DORMANT < now) {
             self.kept_since = now;
+            self.shift.lift(now);
         }
         self.last_ask = Some(now);
         let known = self.queue.contains(ask.id)
--- a/components/dispatch/src/shift.rs
+++ b/components/dispatch/src/shift.rs
@@ -18,8 +18,9 @@
 const MIN_BURST: f64 = 2.0;
 /// Time in which the wanted share is averaged.
 const AVERAGE: Duration = Duration::from_millis(500);
-/// Time after servers came or went in which requests move freely.
-const LIFTED: Duration = Duration::from_secs(6);
+/// Time after servers came or went, or the pool was taken over, in which requests move freely; less
+/// than the platform's stability window of four seconds, after which shares are compared again.
+const LIFTED: Duration = Duration::from_millis(3500);
 
 /// Shares of other regions of the requests of one region and service.
 #[derive(Clone, Debug)]
--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -3,7 +3,7 @@
 use std::io::Write as _;
 use std::time::Duration;
 
-use crate::codes::{CODE_HEADER, Code, NOT_RUN, OUTCOME_HEADER, UNKNOWN};
+use crate::codes::{CODE_HEADER, Code, OUTCOME_HEADER};
 use crate::dispatcher::Slot;
 use crate::http::{Body, Connection, Header, ResponseHead, is_hop_by_hop};
 
@@ -40,10 +40,9 @@
     /// Creates an answer of the gateway itself.
     pub fn own(code: Code, retry_after: Option<Duration>) -> Self {
         let (status, reason) = code.status();
-        let outcome = if code.is_not_run() { NOT_RUN } else { UNKNOWN };
         let mut answer = Answer::plain(status, reason, Vec::new());
         answer.add(CODE_HEADER, &code.number().to_string());
-        answer.add(OUTCOME_HEADER, outcome);
+        answer.add(OUTCOME_HEADER, code.outcome());
         if let Some(after) = retry_after {
             answer.add("Retry-After", &format!("{:.3}", after.as_secs_f64()));
         }
--- a/components/gateway/src/callers.rs
+++ b/components/gateway/src/callers.rs
@@ -29,7 +29,7 @@
                 })
                 .detach();
             }
-            Ok(_) => metrics::counter!("connections_refused").increment(1),
+            Ok(_) => metrics::counter!("gateway_connections_refused_total").increment(1),
             Err(e) => {
                 log::warn!("event=accept_failed error=\"{e}\"");
                 runtime::sleep(Duration::from_millis(20)).await;
--- a/components/gateway/src/codes.rs
+++ b/components/gateway/src/codes.rs
@@ -65,20 +65,20 @@
     /// Returns the number.
     pub fn number(self) -> u16 {
         match self {
-            Code::BadRequest => 201,
-            Code::HeadTooLong => 202,
-            Code::BodyTooLong => 203,
-            Code::NoRoute => 204,
-            Code::NoConfiguration => 211,
-            Code::Overloaded => 212,
-            Code::NoServers => 213,
-            Code::RetryBudget => 214,
-            Code::Refused => 215,
-            Code::NoTime => 216,
-            Code::Leaving => 217,
-            Code::NoMemory => 218,
-            Code::AnswerLost => 221,
-            Code::Timeout => 222,
+            Code::BadRequest => 301,
+            Code::HeadTooLong => 302,
+            Code::BodyTooLong => 303,
+            Code::NoRoute => 304,
+            Code::NoConfiguration => 311,
+            Code::Overloaded => 312,
+            Code::NoServers => 313,
+            Code::RetryBudget => 314,
+            Code::Refused => 315,
+            Code::NoTime => 316,
+            Code::Leaving => 317,
+            Code::NoMemory => 318,
+            Code::AnswerLost => 321,
+            Code::Timeout => 322,
         }
     }
 
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Returns the value of [`OUTCOME_HEADER`].
+    pub fn outcome(self) -> &'static str {
+        if self.is_not_run() { NOT_RUN } else { UNKNOWN }
+    }
+
     /// Tells whether no server ran the request or will run it.
     pub fn is_not_run(self) -> bool {
         !matches!(self, Code::AnswerLost | Code::Timeout)
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -218,7 +218,7 @@
         match message::decode(bytes) {
             Ok(message) => self.with(|inner, now| inner.receive(message, from, now)),
             Err(e) => {
-                metrics::counter!("datagrams_malformed").increment(1);
+                metrics::counter!("gateway_datagrams_malformed_total").increment(1);
                 log::debug!("event=datagram_malformed from={from} error=\"{e}\"");
             }
         }
@@ -244,7 +244,7 @@
             };
             // Lost datagrams are repeated, so a full send buffer needs no waiting.
             if let Err(e) = self.socket.get_ref().send_to(&bytes, to) {
-                metrics::counter!("datagrams_unsent").increment(1);
+                metrics::counter!("gateway_datagrams_unsent_total").increment(1);
                 log::debug!("event=datagram_send_failed to={to} error=\"{e}\"");
             }
         }
--- a/components/gateway/src/dispatcher/inner.rs
+++ b/components/gateway/src/dispatcher/inner.rs
@@ -336,7 +336,7 @@
             self.in_use.insert(number, used);
         }
         let waited = now.saturating_sub(pending.since).as_secs_f64();
-        metrics::histogram!("admission_wait_seconds").record(waited);
+        metrics::histogram!("gateway_admission_wait_seconds").record(waited);
         if pending.tx.try_send(decision).is_err() {
             // The caller has left meanwhile.
             self.close(number, Outcome::Unused, None, now);
@@ -354,7 +354,7 @@
         let Some(Err(outcome)) = checked else {
             return false;
         };
-        metrics::counter!("grants_vetoed").increment(1);
+        metrics::counter!("gateway_grants_vetoed_total").increment(1);
         log::info!(
             "event=grant_vetoed server={} service={} reason={outcome:?}",
             grant.server,
--- a/components/gateway/src/dispatcher/periodic.rs
+++ b/components/gateway/src/dispatcher/periodic.rs
@@ -116,7 +116,7 @@
             };
             pending.tries += 1;
             if pending.tries >= ASK_TRIES {
-                metrics::counter!("asks_unanswered").increment(1);
+                metrics::counter!("gateway_asks_unanswered_total").increment(1);
                 log::info!(
                     "event=keeper_silent keeper={} service={} tries={}",
                     pending.keeper.as_deref().unwrap_or(""),
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -67,7 +67,7 @@
     let mut connection = if let Some(connection) = reused {
         connection
     } else {
-        metrics::counter!("server_connections").increment(1);
+        metrics::counter!("gateway_server_connections_total").increment(1);
         Connection::open(out.address, out.connect_limit)
             .await
             .map_err(Failure::Unreachable)?
@@ -145,7 +145,7 @@
             None if !success => return Ok(head),
             _ => {}
         }
-        metrics::counter!("foreign_answers").increment(1);
+        metrics::counter!("gateway_foreign_answers_total").increment(1);
         log::info!(
             "event=foreign_answer id={} answer_id={} server={}",
             out.id,
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -104,7 +104,7 @@
         }
         self.dispatcher.set_generation(generation);
         log::info!("event=configuration_in_force generation={generation}");
-        metrics::gauge!("configuration_generation").set(generation as f64);
+        metrics::gauge!("gateway_configuration_generation").set(generation as f64);
         self.update_state();
         true
     }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -189,7 +189,8 @@
                 reason,
                 retry_after,
             }) => {
-                metrics::counter!("refusals", "reason" => reason.label()).increment(1);
+                metrics::counter!("gateway_refusals_total", "reason" => reason.label())
+                    .increment(1);
                 return refused(tried, reason, retry_after);
             }
             Some(Admission::Slot(slot)) => {
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -108,7 +108,7 @@
             return pending().await;
         };
         sent_second.store(true, Ordering::Relaxed);
-        metrics::counter!("hedges").increment(1);
+        metrics::counter!("gateway_hedges_total").increment(1);
         attempt(node, req, plan, slot, Duration::MAX).await
     };
     let (mut first, mut second) = (pin!(first), pin!(second));
--- a/components/gateway/src/relay/trace.rs
+++ b/components/gateway/src/relay/trace.rs
@@ -61,7 +61,7 @@
             "{comma}{place}:{outcome}:{}",
             took.as_millis()
         );
-        metrics::counter!("attempts", "outcome" => outcome).increment(1);
+        metrics::counter!("gateway_attempts_total", "outcome" => outcome).increment(1);
     }
 
     /// Records an attempt that failed with an error.
@@ -79,8 +79,8 @@
         self.finished = true;
         let took = node.now().saturating_sub(self.arrived);
         let code = answer.code.map_or("none", |c| c.label());
-        metrics::counter!("answers", "code" => code).increment(1);
-        metrics::histogram!("request_seconds").record(took.as_secs_f64());
+        metrics::counter!("gateway_answers_total", "code" => code).increment(1);
+        metrics::histogram!("gateway_request_seconds").record(took.as_secs_f64());
         log::info!(
             "event=request {} status={} code={code} took_ms={}",
             self.fields(),
@@ -112,7 +112,7 @@
 impl Drop for Trace {
     fn drop(&mut self) {
         if !self.finished {
-            metrics::counter!("requests_abandoned").increment(1);
+            metrics::counter!("gateway_requests_abandoned_total").increment(1);
             log::info!("event=request_abandoned {}", self.fields());
         }
     }
--- a/components/runtime/src/logger.rs
+++ b/components/runtime/src/logger.rs
@@ -55,7 +55,7 @@
             });
         if !queued {
             DROPPED.fetch_add(1, Ordering::Relaxed);
-            metrics::counter!("log_lines_dropped").increment(1);
+            metrics::counter!("log_lines_dropped_total").increment(1);
         }
         Ok(line.len())
     }
@@ -86,7 +86,7 @@
             written = written.and(writeln!(out, "event=log_lines_dropped count={dropped}"));
         }
         if written.and(out.flush()).is_err() {
-            metrics::counter!("log_lines_failed").increment(1);
+            metrics::counter!("log_lines_failed_total").increment(1);
         }
         WAITING.fetch_sub(1, Ordering::Relaxed);
     }
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -30,17 +30,23 @@
 #[test]
 fn result_codes_agree_with_the_code() {
     let rows = numbered_rows(&page("RESULT-CODES.md"));
-    let expected: Vec<Vec<String>> = Code::ALL
-        .iter()
-        .map(|code| {
-            vec![
-                code.number().to_string(),
-                format!("{code:?}"),
-                code.status().to_string(),
-                code.outcome().as_str().to_owned(),
-            ]
-        })
-        .collect();
+    let row = |number: u16, name: String, status: u16, outcome: &str| {
+        vec![
+            number.to_string(),
+            name,
+            status.to_string(),
+            outcome.to_owned(),
+        ]
+    };
+    let entry = Code::ALL.iter().map(|c| {
+        let outcome = c.outcome().as_str();
+        row(c.number(), format!("{c:?}"), c.status(), outcome)
+    });
+    let gateway = gateway::Code::ALL.iter().map(|c| {
+        let status = c.status().0;
+        row(c.number(), format!("{c:?}"), status, c.outcome())
+    });
+    let expected: Vec<Vec<String>> = entry.chain(gateway).collect();
     let found: Vec<Vec<String>> = rows.iter().map(|row| row[..4].to_vec()).collect();
     assert_eq!(found, expected);
     for row in &rows {
@@ -97,8 +103,9 @@
     for component in fs::read_dir(root().join("components")).expect("folder") {
         metrics_below(&component.expect("entry").path().join("src"), &mut found);
     }
+    metrics_below(&root().join("platform/src"), &mut found);
     assert!(found.len() > 20, "{found:?}");
-    let page = page("OPERATING.md");
+    let page = page("OPERATING.md") + &page("OPERATIONS.md");
     for name in found {
         assert!(page.contains(&format!("| `{name}` |")), "{name}");
     }
