--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -7,7 +7,6 @@
 
 use dispatch::Outcome;
 use futures_lite::FutureExt;
-use futures_lite::future::pending;
 use smallvec::SmallVec;
 
 use super::encode::encode;
@@ -27,6 +26,8 @@
 /// Multiple of the usual service time after which an idempotent request is also sent to another
 /// server.
 const SLOW_FACTOR: f64 = 2.5;
+/// Tries to find a spare slot for a second attempt in that time.
+const SPARE_TRIES: u32 = 4;
 
 /// What follows an attempt.
 pub(super) enum Step {
@@ -97,18 +98,28 @@
     let avoid = tried.avoid.clone();
     let second = async {
         runtime::sleep(slow_after).await;
-        let request = SlotRequest {
-            repeat: true,
-            spare: true,
-            avoid,
-            regions: SmallVec::new(),
-            ..super::slot_request(plan)
-        };
-        let Admission::Slot(slot) = node.dispatcher.admit(request).await else {
-            return pending().await;
+        let slot = loop {
+            let request = SlotRequest {
+                repeat: true,
+                spare: true,
+                avoid: avoid.clone(),
+                regions: SmallVec::new(),
+                ..super::slot_request(plan)
+            };
+            if let Admission::Slot(slot) = node.dispatcher.admit(request).await {
+                break slot;
+            }
+            runtime::sleep(slow_after / SPARE_TRIES).await;
         };
         sent_second.store(true, Ordering::Relaxed);
         metrics::counter!("gateway_hedges_total").increment(1);
+        log::info!(
+            "event=hedge id={} first={} second={} slow_after_ms={}",
+            plan.id,
+            avoid.last().map_or("", |s| s),
+            slot.grant.server,
+            slow_after.as_millis()
+        );
         attempt(node, req, plan, slot, Duration::MAX).await
     };
     let (mut first, mut second) = (pin!(first), pin!(second));
