--- a/components/dispatch/src/pool/grant.rs
+++ b/components/dispatch/src/pool/grant.rs
@@ -43,16 +43,16 @@
                     let warm = ask
                         .object
                         .is_some_and(|o| warmth.is_warm(s.recent.depth(o)));
-                    let factor = s.slowness(now, cfg) * (1.0 + ORDER_WEIGHT * s.order(ask.object));
-                    let mut time = warmth.expected(warm).mul_f64(factor);
+                    let expected = warmth.expected(warm).mul_f64(s.slowness(now, cfg));
+                    let mut time = expected.mul_f64(1.0 + ORDER_WEIGHT * s.order(ask.object));
                     if s.server.domain != ask.domain {
                         time += cfg.cross_domain_cost;
                     }
-                    (time, warm, s.server.id.clone())
+                    (time, warm, expected, s.server.id.clone())
                 })
             })
             .min_by_key(|(time, ..)| *time);
-        let (_, warm, id) = best?;
+        let (_, warm, expected, id) = best?;
         if ask.object.is_some() && !warm && self.worth_waiting(waiting, now) {
             return None;
         }
@@ -65,6 +65,7 @@
             server: best.server.id.clone(),
             address: best.server.address,
             cold: best.cold(now),
+            expected,
         };
         let sends = if ask.repeat {
             &mut self.repeats
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -23,9 +23,10 @@
 /// Longest idle time of a connection on which a binding request is sent. A server that closes the
 /// connection meanwhile would leave its outcome unknown.
 pub(super) const BINDING_IDLE: Duration = Duration::from_secs(1);
-/// Multiple of the usual service time after which an idempotent request is also sent to another
-/// server.
+/// Multiple of the expected time after which an idempotent request is also sent to another server.
 const SLOW_FACTOR: f64 = 2.5;
+/// Least such time, in which delays of the network do not count as slow.
+const LEAST_SLOW: Duration = Duration::from_millis(50);
 /// Tries to find a spare slot for a second attempt in that time.
 const SPARE_TRIES: u32 = 4;
 
@@ -73,7 +74,7 @@
     }
     tried.avoid.push(slot.grant.server.clone());
     let again = !plan.route.binding && tried.sends + 1 < plan.route.max_attempts;
-    let slow_after = slow_after(node, plan, again, left);
+    let slow_after = slow_after(slot.grant.expected, again, left);
     let first = attempt(node, req, plan, slot, slow_after);
     let finished = if slow_after < left {
         hedged(node, req, plan, tried, first, slow_after, trace).await
@@ -232,12 +233,13 @@
 
 /// Time after which an attempt counts as slow; all of `left` if there is no time or no attempt
 /// left for another server.
-fn slow_after(node: &Node, plan: &Plan, again: bool, left: Duration) -> Duration {
-    let Some(usual) = node.dispatcher.usual(&plan.service).filter(|_| again) else {
-        return left;
-    };
-    let slow = usual.mul_f64(SLOW_FACTOR);
-    if slow + usual < left { slow } else { left }
+fn slow_after(expected: Duration, again: bool, left: Duration) -> Duration {
+    let slow = expected.mul_f64(SLOW_FACTOR).max(LEAST_SLOW);
+    if again && slow + expected < left {
+        slow
+    } else {
+        left
+    }
 }
 
 pub(super) fn lost(tried: &mut Tried, again: bool, code: Code) -> Step {
