--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -24,7 +24,7 @@
 /// connection meanwhile would leave its outcome unknown.
 pub(super) const BINDING_IDLE: Duration = Duration::from_secs(1);
 /// Multiple of the expected time after which an idempotent request is also sent to another server.
-const SLOW_FACTOR: f64 = 2.5;
+const SLOW_FACTOR: f64 = 2.0;
 /// Least such time, in which delays of the network do not count as slow.
 const LEAST_SLOW: Duration = Duration::from_millis(50);
 /// Tries to find a spare slot for a second attempt in that time.
