Put changed settings in force without a restart

Cause: the settings were copied into the node at the start; a reload only logged the change.

Ruled out: a restart of the process by itself, which would cut its pools.

Test: changed_settings_take_effect_at_once (there was no such call before).

--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -87,6 +87,13 @@
         self.clock.uptime()
     }
 
+    /// Takes over changed settings.
+    pub fn update(&self, settings: &Settings) {
+        let mut inner = self.lock();
+        inner.domains.clone_from(&settings.domains);
+        inner.seeds.clone_from(&settings.seeds);
+    }
+
     /// Changes the state that other entry VMs see, and tells them at once.
     pub fn set_state(&self, state: State) {
         self.with(|inner, now| inner.set_state(state, now));
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -77,7 +77,7 @@
     runtime::spawn(dispatcher.clone().receive()).detach();
     runtime::spawn(dispatcher.tick(timers.clone())).detach();
     runtime::spawn(expire_idle(node.clone(), timers)).detach();
-    let cfg = node.settings.clone();
+    let cfg = node.settings();
     let callers = bind(cfg.callers).await?;
     runtime::spawn(callers::serve(node.clone(), callers, Origin::Caller)).detach();
     let peers = bind(cfg.peers).await?;
@@ -113,7 +113,7 @@
 pub async fn run_until(node: &Node, stop: Receiver<()>) {
     // Nothing is sent; the channel closes at a signal.
     let _ = stop.recv().await;
-    let grace = node.settings.grace_period;
+    let grace = node.settings().grace_period;
     log::info!(
         "event=stopping open_requests={} grace_ms={}",
         node.open_requests(),
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -28,8 +28,7 @@
 /// An entry VM.
 #[derive(Debug)]
 pub struct Node {
-    /// Settings.
-    pub settings: Settings,
+    settings: Mutex<Arc<Settings>>,
     /// Names and formats of the platform.
     pub dialect: Dialect,
     /// Slots of servers, pools and members.
@@ -56,7 +55,7 @@
     ) -> Arc<Self> {
         let (tx, rx) = async_channel::bounded(1);
         Arc::new(Node {
-            settings,
+            settings: Mutex::new(Arc::new(settings)),
             dialect,
             dispatcher,
             idle: IdleConnections::default(),
@@ -70,6 +69,23 @@
         })
     }
 
+    /// Returns the settings in force.
+    pub fn settings(&self) -> Arc<Settings> {
+        lock(&self.settings).clone()
+    }
+
+    /// Puts changed settings in force; returns whether some of them need a restart.
+    pub fn update_settings(&self, new: &Settings) -> bool {
+        let updated = self.settings().updated(new);
+        let restart = updated != *new;
+        self.dispatcher.update(&updated);
+        *lock(&self.settings) = Arc::new(updated);
+        if let Some(table) = self.routes() {
+            self.configure_pools(&table);
+        }
+        restart
+    }
+
     /// Describes this entry VM to others.
     pub fn own(&self) -> Member {
         self.dispatcher.own()
@@ -110,15 +126,16 @@
     }
 
     fn configure_pools(&self, table: &RouteTable) {
-        let regions = self.settings.regions() as f64;
+        let settings = self.settings();
+        let regions = settings.regions() as f64;
         for (name, service) in &table.services {
             let cfg = PoolSettings {
                 cold_per_s: (service.cold_per_s * COLD_SHARE).max(1.0),
                 cold_start: service.cold_start,
-                max_shift: self.settings.max_shift * SHIFT_SHARE,
-                retry_ratio: self.settings.retry_ratio * RETRY_SHARE,
-                retry_allowance: self.settings.retry_slack * RETRY_SHARE / regions,
-                retry_window: self.settings.retry_window,
+                max_shift: settings.max_shift * SHIFT_SHARE,
+                retry_ratio: settings.retry_ratio * RETRY_SHARE,
+                retry_allowance: settings.retry_slack * RETRY_SHARE / regions,
+                retry_window: settings.retry_window,
                 ..PoolSettings::default()
             };
             self.dispatcher.configure(name, cfg);
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -216,12 +216,12 @@
         .dispatcher
         .usual(&plan.service)
         .unwrap_or(plan.route.target);
-    let end = (since + node.settings.grace_period).saturating_sub(LAST_MOMENTS);
+    let end = (since + node.settings().grace_period).saturating_sub(LAST_MOMENTS);
     node.now() + usual.mul_f64(1.5) > end
 }
 
 async fn admit(node: &Arc<Node>, req: &Request, plan: &Plan, tried: &Tried) -> Admission {
-    if !plan.route.allows_region(&node.settings.region) {
+    if !plan.route.allows_region(&node.settings().region) {
         return admit_at_home(node, req, plan, tried);
     }
     let request = SlotRequest {
@@ -267,8 +267,8 @@
         return SmallVec::new();
     }
     let mut regions: SmallVec<[RegionId; 2]> = SmallVec::new();
-    for region in node.settings.domains.values() {
-        let other = *region != node.settings.region && !regions.contains(region);
+    for region in node.settings().domains.values() {
+        let other = *region != node.settings().region && !regions.contains(region);
         if other && plan.route.allows_region(region) {
             regions.push(region.clone());
         }
--- a/components/gateway/src/service.rs
+++ b/components/gateway/src/service.rs
@@ -104,7 +104,7 @@
         return Answer::plain(503, "Service Unavailable", Vec::new());
     }
     metrics::counter!("gateway_look_ups_total").increment(1);
-    let body = (node.dialect.encode_look_up)(&addresses, node.settings.look_up_lifetime);
+    let body = (node.dialect.encode_look_up)(&addresses, node.settings().look_up_lifetime);
     let mut answer = Answer::plain(200, "OK", body);
     answer.add("Content-Type", node.dialect.look_up_type);
     answer
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -69,6 +69,22 @@
 }
 
 impl Settings {
+    /// Returns the settings that are in force after a change to `new`: names and addresses stay
+    /// until the next start.
+    pub fn updated(&self, new: &Settings) -> Settings {
+        Settings {
+            id: self.id.clone(),
+            domain: self.domain.clone(),
+            region: self.region.clone(),
+            callers: self.callers,
+            readiness: self.readiness,
+            look_ups: self.look_ups,
+            peers: self.peers,
+            metrics: self.metrics,
+            ..new.clone()
+        }
+    }
+
     /// Returns the region of a failure domain.
     pub fn region_of(&self, domain: &str) -> Option<&RegionId> {
         self.domains.get(domain)
--- a/components/gateway/tests/relay/callers.rs
+++ b/components/gateway/tests/relay/callers.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use gateway::Settings;
+
 use crate::world::{Act, Backend, World, answer, receive, request};
 
 /// Guards against answers out of order, and against pipelined requests that wait for each other.
@@ -111,3 +113,24 @@
     assert_eq!(receive(&mut stream).unwrap().0, 404);
     assert_eq!(backend.count(), 0);
 }
+
+/// Guards against changed settings that need a restart to take effect, and against a changed
+/// address that is announced although nothing listens there.
+#[test]
+fn changed_settings_take_effect_at_once() {
+    let world = World::start(&[]);
+    let before = world.node.settings();
+    let new = Settings {
+        grace_period: Duration::from_secs(9),
+        max_shift: 0.5,
+        ..(*before).clone()
+    };
+    assert!(!world.node.update_settings(&new));
+    assert_eq!(*world.node.settings(), new);
+    let moved = Settings {
+        callers: world.readiness,
+        ..new.clone()
+    };
+    assert!(world.node.update_settings(&moved));
+    assert_eq!(*world.node.settings(), new);
+}
