--- a/components/dispatch/src/members.rs
+++ b/components/dispatch/src/members.rs
@@ -11,8 +11,11 @@
 const NEAR_SILENCE: Duration = Duration::from_millis(850);
 /// Silence after which a member of another region is not used; four heartbeats.
 const FAR_SILENCE: Duration = Duration::from_millis(2300);
-/// Silence after which a member is forgotten.
-const FORGET: Duration = Duration::from_secs(30);
+/// Silence after which a member gets few heartbeats.
+const QUIET: Duration = Duration::from_secs(10);
+/// Silence after which a member is forgotten. Longer than any usual partition, because two members
+/// that have forgotten each other meet again only through a third one.
+const FORGET: Duration = Duration::from_secs(600);
 
 /// What an entry VM does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,8 +54,17 @@
 pub struct Members {
     /// The entry VM itself.
     pub own: Member,
-    /// Others with the time of the last heartbeat; `None` before the first.
-    others: BTreeMap<EntryVmId, (Member, Option<Duration>)>,
+    others: BTreeMap<EntryVmId, Known>,
+}
+
+/// Another entry VM.
+#[derive(Clone, Debug)]
+struct Known {
+    member: Member,
+    /// Last heartbeat; `None` before the first.
+    heard: Option<Duration>,
+    /// Last heartbeat, or when the member was added.
+    since: Duration,
 }
 
 impl Members {
@@ -65,17 +77,20 @@
     }
 
     /// Adds an entry VM that has not been heard; returns whether it was unknown.
-    pub fn add(&mut self, member: Member) -> bool {
+    pub fn add(&mut self, member: Member, now: Duration) -> bool {
         if member.id == self.own.id {
             return false;
         }
         let known = self.others.get(&member.id);
-        if known.is_some_and(|(k, heard)| heard.is_some() || k.incarnation == member.incarnation) {
+        if known.is_some_and(|k| k.heard.is_some() || k.member.incarnation == member.incarnation) {
             return false;
         }
-        self.others
-            .insert(member.id.clone(), (member, None))
-            .is_none()
+        let known = Known {
+            member,
+            heard: None,
+            since: now,
+        };
+        self.others.insert(known.member.id.clone(), known).is_none()
     }
 
     /// Records a heartbeat; returns whether the member is new, has changed or was silent.
@@ -84,10 +99,14 @@
             return false;
         }
         let silence = self.silence(&member);
-        let new = (member, Some(now));
-        match self.others.insert(new.0.id.clone(), new.clone()) {
-            Some((old, Some(at))) => old != new.0 || at + silence <= now,
-            Some((_, None)) | None => true,
+        let known = Known {
+            member: member.clone(),
+            heard: Some(now),
+            since: now,
+        };
+        match self.others.insert(member.id.clone(), known) {
+            Some(old) => old.member != member || old.heard.is_none_or(|at| at + silence <= now),
+            None => true,
         }
     }
 
@@ -100,20 +119,37 @@
         }
     }
 
-    /// Forgets members that have been silent for long.
-    pub fn expire(&mut self, now: Duration) {
-        self.others
-            .retain(|_, (_, heard)| heard.is_none_or(|at| at + FORGET > now));
+    /// Forgets members that have been silent for long, and returns them.
+    pub fn expire(&mut self, now: Duration) -> Vec<Member> {
+        let gone = |k: &Known| k.since + FORGET <= now;
+        let forgotten = self.others.values().filter(|k| gone(k));
+        let forgotten = forgotten.map(|k| k.member.clone()).collect();
+        self.others.retain(|_, k| !gone(k));
+        forgotten
     }
 
     /// Returns all other members, silent ones too.
     pub fn others(&self) -> impl Iterator<Item = &Member> {
-        self.others.values().map(|(m, _)| m)
+        self.others.values().map(|k| &k.member)
+    }
+
+    /// Returns the other members that have sent a heartbeat.
+    pub fn met(&self) -> impl Iterator<Item = &Member> {
+        self.others
+            .values()
+            .filter(|k| k.heard.is_some())
+            .map(|k| &k.member)
+    }
+
+    /// Tells whether a member has been silent for so long that few heartbeats suffice to notice its
+    /// return.
+    pub fn quiet(&self, id: &str, now: Duration) -> bool {
+        self.others.get(id).is_none_or(|k| k.since + QUIET <= now)
     }
 
     /// Returns a member, whatever its state.
     pub fn get(&self, id: &str) -> Option<&Member> {
-        self.others.get(id).map(|(m, _)| m)
+        self.others.get(id).map(|k| &k.member)
     }
 
     /// Tells whether a member serves and has been heard lately.
@@ -121,8 +157,9 @@
         if id == &*self.own.id {
             return self.own.state == State::Ready;
         }
-        self.others.get(id).is_some_and(|(m, heard)| {
-            m.state == State::Ready && heard.is_some_and(|at| at + self.silence(m) > now)
+        self.others.get(id).is_some_and(|k| {
+            let silence = self.silence(&k.member);
+            k.member.state == State::Ready && k.heard.is_some_and(|at| at + silence > now)
         })
     }
 
--- a/components/dispatch/tests/members.rs
+++ b/components/dispatch/tests/members.rs
@@ -74,3 +74,28 @@
     assert_eq!(members.serving(at(100)).len(), 2);
     assert_eq!(members.serving(at(2000)).len(), 1);
 }
+
+/// Guards against a partition that stays after its cause is gone, because both sides have
+/// forgotten each other.
+#[test]
+fn members_are_known_through_a_long_partition() {
+    let mut members = Members::new(member("a", State::Ready));
+    members.heard(member("b", State::Ready), at(0));
+    assert!(members.expire(at(120_000)).is_empty());
+    assert!(members.quiet("b", at(120_000)));
+    assert!(members.get("b").is_some());
+    members.heard(member("b", State::Ready), at(120_000));
+    assert!(!members.quiet("b", at(120_001)));
+}
+
+/// Guards against heartbeats without end to addresses of members that were killed, also those that
+/// were only listed by the platform.
+#[test]
+fn members_that_never_come_back_are_forgotten() {
+    let mut members = Members::new(member("a", State::Ready));
+    members.add(member("b", State::Starting), at(0));
+    members.heard(member("c", State::Ready), at(0));
+    let forgotten = members.expire(at(601_000));
+    assert_eq!(forgotten.len(), 2);
+    assert_eq!(members.others().count(), 0);
+}
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -139,6 +139,11 @@
         self.with(|inner, now| inner.add_member(member, now));
     }
 
+    /// Takes the entry VMs that have been silent for so long that they were forgotten.
+    pub fn take_forgotten(&self) -> Vec<Member> {
+        std::mem::take(&mut self.lock().forgotten)
+    }
+
     /// Describes this entry VM.
     pub fn own(&self) -> Member {
         self.lock().members.own.clone()
--- a/components/gateway/src/dispatcher/inbox.rs
+++ b/components/gateway/src/dispatcher/inbox.rs
@@ -106,7 +106,7 @@
     /// Tells an entry VM that was unknown about the others.
     fn introduce(&mut self, to: SocketAddr) {
         const AT_ONCE: usize = 16;
-        let members: Vec<Member> = self.members.others().cloned().collect();
+        let members: Vec<Member> = self.members.met().cloned().collect();
         for some in members.chunks(AT_ONCE) {
             self.send(to, Message::Introduce(some.to_vec()));
         }
--- a/components/gateway/src/dispatcher/inner.rs
+++ b/components/gateway/src/dispatcher/inner.rs
@@ -69,7 +69,10 @@
     pub askers: HashMap<u64, SocketAddr>,
     pub next_near: Duration,
     pub next_far: Duration,
+    pub next_quiet: Duration,
     pub next_report: Duration,
+    /// Members that were silent for long, until they are taken.
+    pub forgotten: Vec<Member>,
     pub outbox: Vec<(SocketAddr, Message)>,
 }
 
@@ -90,7 +93,9 @@
             askers: HashMap::new(),
             next_near: Duration::ZERO,
             next_far: Duration::ZERO,
+            next_quiet: Duration::ZERO,
             next_report: Duration::ZERO,
+            forgotten: Vec::new(),
             outbox: Vec::new(),
         }
     }
@@ -158,7 +163,7 @@
 
     pub fn add_member(&mut self, member: Member, now: Duration) {
         let to = member.peers;
-        if self.members.add(member) {
+        if self.members.add(member, now) {
             let heartbeat = self.own_heartbeat(now);
             self.send(to, heartbeat);
         }
--- a/components/gateway/src/dispatcher/periodic.rs
+++ b/components/gateway/src/dispatcher/periodic.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use config::{RegionId, ServiceId};
-use dispatch::State;
+use dispatch::{Member, Members, State};
 
 use super::inner::Inner;
-use super::timing::{ASK_TRIES, END_REPEAT, END_TRIES, FAR_HEARTBEAT, NEAR_HEARTBEAT, POOL_REPORT};
+use super::timing::{
+    ASK_TRIES, END_REPEAT, END_TRIES, FAR_HEARTBEAT, NEAR_HEARTBEAT, POOL_REPORT, QUIET_HEARTBEAT,
+};
 use crate::message::Message;
 
 impl Inner {
@@ -18,7 +20,11 @@
         let far = now >= self.next_far;
         if near {
             self.next_near = now + NEAR_HEARTBEAT;
-            self.members.expire(now);
+            let forgotten = self.members.expire(now);
+            for member in &forgotten {
+                log::info!("event=member_forgotten member={}", member.id);
+            }
+            self.forgotten.extend(forgotten);
             let isolated = self.members.isolated(now);
             for pool in self.pools.values_mut() {
                 pool.set_isolated(isolated);
@@ -31,6 +37,10 @@
         if near || far {
             self.heartbeat(near, far, now);
         }
+        if now >= self.next_quiet {
+            self.next_quiet = now + QUIET_HEARTBEAT;
+            self.heartbeat_to(|members, m| members.quiet(&m.id, now), now);
+        }
         if now >= self.next_report {
             self.next_report = now + POOL_REPORT;
             self.report_pools(now);
@@ -48,18 +58,27 @@
         }
     }
 
+    /// Tells the members that are heard, in the own region or in others, that this one is alive.
     pub fn heartbeat(&mut self, near: bool, far: bool, now: Duration) {
-        let own = &self.members.own;
-        let mut to: Vec<SocketAddr> = self
-            .members
-            .others()
-            .filter(|m| if m.region == own.region { near } else { far })
-            .map(|m| m.peers)
-            .collect();
-        if far && to.is_empty() && self.members.others().next().is_none() {
-            to.extend(self.seeds.iter().filter(|&&s| s != own.peers));
+        let region = self.members.own.region.clone();
+        let due = |m: &Member| if m.region == region { near } else { far };
+        self.heartbeat_to(|members, m| due(m) && !members.quiet(&m.id, now), now);
+        if far && self.members.others().next().is_none() {
+            let own = self.members.own.peers;
+            let heartbeat = self.own_heartbeat(now);
+            for seed in self.seeds.clone() {
+                if seed != own {
+                    self.send(seed, heartbeat.clone());
+                }
+            }
         }
+    }
+
+    fn heartbeat_to(&mut self, choose: impl Fn(&Members, &Member) -> bool, now: Duration) {
         let heartbeat = self.own_heartbeat(now);
+        let members = &self.members;
+        let chosen = members.others().filter(|m| choose(members, m));
+        let to: Vec<SocketAddr> = chosen.map(|m| m.peers).collect();
         for address in to {
             self.send(address, heartbeat.clone());
         }
--- a/components/gateway/src/dispatcher/timing.rs
+++ b/components/gateway/src/dispatcher/timing.rs
@@ -8,6 +8,9 @@
 pub const NEAR_HEARTBEAT: Duration = Duration::from_millis(200);
 /// Time between heartbeats to entry VMs of other regions.
 pub const FAR_HEARTBEAT: Duration = Duration::from_millis(550);
+/// Time between heartbeats to entry VMs that have been silent for long; bounds how late two sides
+/// of a partition meet again.
+pub const QUIET_HEARTBEAT: Duration = Duration::from_secs(2);
 /// Time between reports of pools to other regions.
 pub const POOL_REPORT: Duration = Duration::from_millis(100);
 /// Time after which an unanswered ask is repeated; over ten round trips between domains.
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -176,6 +176,14 @@
         self.dispatcher.add_member(member);
     }
 
+    /// Takes the entry VMs of the region that have been silent for so long that they were forgotten.
+    pub fn take_forgotten(&self) -> Vec<Member> {
+        let region = &self.settings().region;
+        let mut forgotten = self.dispatcher.take_forgotten();
+        forgotten.retain(|m| m.region == *region);
+        forgotten
+    }
+
     /// Returns the configuration in force; 0 if there is none.
     pub fn generation(&self) -> Generation {
         self.routes().map_or(0, |r| r.generation)
