--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -87,6 +87,13 @@
         self.clock.uptime()
     }
 
+    /// Takes over changed settings.
+    pub fn update(&self, settings: &Settings) {
+        let mut inner = self.lock();
+        inner.domains.clone_from(&settings.domains);
+        inner.seeds.clone_from(&settings.seeds);
+    }
+
     /// Changes the state that other entry VMs see, and tells them at once.
     pub fn set_state(&self, state: State) {
         self.with(|inner, now| inner.set_state(state, now));
@@ -132,6 +139,11 @@
         self.with(|inner, now| inner.add_member(member, now));
     }
 
+    /// Takes the entry VMs that have been silent for so long that they were forgotten.
+    pub fn take_forgotten(&self) -> Vec<Member> {
+        std::mem::take(&mut self.lock().forgotten)
+    }
+
     /// Describes this entry VM.
     pub fn own(&self) -> Member {
         self.lock().members.own.clone()
