Let a few entry VMs speak for their region

Cause: every entry VM sent a whole description to all others, to those of other regions every 0.55 s, and each new one was sent the descriptions of all by all.

Now short heartbeats carry the incarnation and the state, descriptions are sent when asked for, and only the keepers of pools and four more entry VMs of a region send heartbeats to other regions; the others do so every 30 s, so that they stay known. What two entry VMs missed is found by comparing digests every five seconds instead of unasked introductions.

Ruled out: longer periods, since the silence after which a keeper is replaced depends on them.

Tests: a_fixed_number_of_members_speaks_for_a_region, members_with_the_same_knowledge_have_the_same_digest (neither call existed).

--- a/components/dispatch/src/members.rs
+++ b/components/dispatch/src/members.rs
@@ -11,8 +11,9 @@
 const NEAR_SILENCE: Duration = Duration::from_millis(850);
 /// Silence after which a member of another region is not used; four heartbeats.
 const FAR_SILENCE: Duration = Duration::from_millis(2300);
-/// Silence after which a member gets few heartbeats.
-const QUIET: Duration = Duration::from_secs(10);
+/// Silence after which a member gets few heartbeats; most members of other regions send one in 30
+/// seconds.
+const QUIET: Duration = Duration::from_secs(65);
 /// Silence after which a member is forgotten. Longer than any usual partition, because two members
 /// that have forgotten each other meet again only through a third one.
 const FORGET: Duration = Duration::from_secs(600);
@@ -152,6 +153,26 @@
         self.others.get(id).map(|k| &k.member)
     }
 
+    /// Returns a member, whatever its state.
+    pub fn by_incarnation(&self, incarnation: Incarnation) -> Option<&Member> {
+        self.others().find(|m| m.incarnation == incarnation)
+    }
+
+    /// Returns a digest of the members that have sent a heartbeat, and of this one.
+    pub fn digest(&self) -> u64 {
+        let all = self.met().chain(std::iter::once(&self.own));
+        all.fold(0, |sum, m| sum ^ hash(&m.id, &m.incarnation.to_le_bytes()))
+    }
+
+    /// Tells whether this member is one of the `count` of its region that stand first in an order
+    /// on which all agree.
+    pub fn is_delegate(&self, count: usize, now: Duration) -> bool {
+        let own = hash(&self.own.id, &[]);
+        let before = |m: &&Member| m.region == self.own.region && hash(&m.id, &[]) > own;
+        let serving = self.serving(now);
+        self.own.state == State::Ready && serving.into_iter().filter(before).count() < count
+    }
+
     /// Tells whether a member serves and has been heard lately.
     pub fn usable(&self, id: &str, now: Duration) -> bool {
         if id == &*self.own.id {
@@ -163,6 +184,20 @@
         })
     }
 
+    /// Returns the members of the own failure domain that are heard and do not leave, itself
+    /// included, in an order on which all agree.
+    pub fn domain_order(&self, purpose: &str, now: Duration) -> Vec<&Member> {
+        let heard = |k: &&Known| {
+            let silence = self.silence(&k.member);
+            k.heard.is_some_and(|at| at + silence > now)
+        };
+        let others = self.others.values().filter(heard).map(|k| &k.member);
+        let others = others.filter(|m| m.domain == self.own.domain && m.state != State::Leaving);
+        let mut members: Vec<&Member> = others.chain(std::iter::once(&self.own)).collect();
+        members.sort_by_key(|m| std::cmp::Reverse(hash(purpose, m.id.as_bytes())));
+        members
+    }
+
     /// Returns the members that serve, itself included.
     pub fn serving(&self, now: Duration) -> Vec<&Member> {
         self.others()
@@ -188,15 +223,15 @@
         self.serving(now)
             .into_iter()
             .filter(|m| &*m.region == region)
-            .max_by_key(|m| (m.informed, rendezvous(service, &m.id)))
+            .max_by_key(|m| (m.informed, hash(service, m.id.as_bytes())))
     }
 }
 
-fn rendezvous(service: &str, id: &str) -> u64 {
+fn hash(first: &str, second: &[u8]) -> u64 {
     let mut hasher = blake3::Hasher::new();
-    hasher.update(service.as_bytes());
+    hasher.update(first.as_bytes());
     hasher.update(&[0]);
-    hasher.update(id.as_bytes());
+    hasher.update(second);
     let mut bytes = [0; 8];
     bytes.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
     u64::from_le_bytes(bytes)
--- a/components/dispatch/tests/members.rs
+++ b/components/dispatch/tests/members.rs
@@ -99,3 +99,61 @@
     assert_eq!(forgotten.len(), 2);
     assert_eq!(members.others().count(), 0);
 }
+
+/// Guards against heartbeats between regions that grow with the square of the members: only a few
+/// speak for their region, and all agree who.
+#[test]
+fn a_fixed_number_of_members_speaks_for_a_region() {
+    let names: Vec<String> = (0..30).map(|i| format!("entry-{i}")).collect();
+    let mut delegates = 0;
+    for own in &names {
+        let mut members = Members::new(member(own, State::Ready));
+        for other in &names {
+            members.heard(member(other, State::Ready), at(0));
+        }
+        delegates += usize::from(members.is_delegate(4, at(10)));
+    }
+    assert_eq!(delegates, 4);
+}
+
+/// Guards against members that stay unknown to some: their digests differ, whatever the order in
+/// which they met.
+#[test]
+fn members_with_the_same_knowledge_have_the_same_digest() {
+    let mut a = Members::new(member("a", State::Ready));
+    let mut b = Members::new(member("b", State::Starting));
+    assert_ne!(a.digest(), b.digest());
+    a.heard(member("c", State::Ready), at(0));
+    a.heard(member("b", State::Ready), at(1));
+    b.heard(member("a", State::Leaving), at(2));
+    assert_ne!(a.digest(), b.digest());
+    b.heard(member("c", State::Ready), at(3));
+    assert_eq!(a.digest(), b.digest());
+}
+
+/// Guards against entry VMs of a failure domain that disagree on who follows the store, and against
+/// silent or leaving ones that are followed.
+#[test]
+fn a_failure_domain_agrees_on_its_order() {
+    let names = ["a", "b", "c", "d"];
+    let mut orders = Vec::new();
+    for own in names {
+        let mut members = Members::new(member(own, State::Ready));
+        for other in names {
+            members.heard(member(other, State::Ready), at(0));
+        }
+        members.heard(
+            Member {
+                domain: "south".into(),
+                ..member("e", State::Ready)
+            },
+            at(0),
+        );
+        let order = members.domain_order("feed", at(100));
+        orders.push(order.iter().map(|m| m.id.clone()).collect::<Vec<_>>());
+        members.heard(member("b", State::Leaving), at(800));
+        let later = members.domain_order("feed", at(1000));
+        assert!(later.iter().all(|m| *m.id == *own), "{later:?}");
+    }
+    assert!(orders.iter().all(|o| *o == orders[0] && o.len() == 4));
+}
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -1,5 +1,6 @@
 //! Connects requests of this entry VM with the pools of its region, wherever they are kept.
 
+mod heartbeats;
 mod inbox;
 mod inner;
 mod moves;
@@ -109,11 +110,6 @@
         self.lock().members.own.state
     }
 
-    /// Sets the configuration number that heartbeats report.
-    pub fn set_generation(&self, generation: u64) {
-        self.lock().generation = generation;
-    }
-
     /// Sets the limits of a service's pool.
     pub fn configure(&self, service: &ServiceId, cfg: PoolSettings) {
         self.with(|inner, _| inner.configure(service, cfg));
@@ -156,6 +152,16 @@
         inner.members.serving(now).into_iter().cloned().collect()
     }
 
+    /// Returns the peer addresses of the entry VMs of the failure domain in an order on which all
+    /// agree; `None` for this one.
+    pub fn domain_order(&self, purpose: &str) -> Vec<Option<SocketAddr>> {
+        let inner = self.lock();
+        let own = &inner.members.own;
+        let order = inner.members.domain_order(purpose, self.now());
+        let address = |m: &Member| (m.id != own.id).then_some(m.peers);
+        order.into_iter().map(address).collect()
+    }
+
     /// Returns the usual service time of a service in this region, once known.
     pub fn usual(&self, service: &str) -> Option<Duration> {
         self.lock().usual(service)
--- a/components/gateway/src/dispatcher/inbox.rs
+++ b/components/gateway/src/dispatcher/inbox.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use config::RegionId;
-use dispatch::{Ask, Decision, Member};
+use dispatch::{Ask, Decision};
 
 use super::inner::Inner;
 use super::timing::FIRST_ROUND_TRIP;
@@ -14,10 +14,23 @@
     /// Handles a message.
     pub fn receive(&mut self, message: Message, from: SocketAddr, now: Duration) {
         match message {
-            Message::Heartbeat {
-                member, sent_us, ..
-            } => self.receive_heartbeat(member, sent_us, from, now),
+            Message::Heartbeat(member) => self.receive_heartbeat(member, from, now),
+            Message::Alive {
+                incarnation,
+                state,
+                informed,
+            } => self.receive_alive(incarnation, state, informed, from, now),
+            Message::Describe => self.describe(from),
+            Message::Ping { sent_us } => {
+                let id = self.members.own.id.clone();
+                self.send(from, Message::Echo { from: id, sent_us });
+            }
             Message::Echo { from: id, sent_us } => self.receive_echo(&id, sent_us, now),
+            Message::Compare(digest) => {
+                if digest != self.members.digest() {
+                    self.introduce(from);
+                }
+            }
             Message::Introduce(members) => {
                 for member in members {
                     self.add_member(member, now);
@@ -66,52 +79,6 @@
             .map(|m| m.id.clone())
     }
 
-    fn receive_heartbeat(&mut self, member: Member, sent_us: u64, from: SocketAddr, now: Duration) {
-        let region = member.region.clone();
-        let id = member.id.clone();
-        let known = self.members.get(&id).map(|m| m.incarnation);
-        if let Some(old) = known
-            && old != member.incarnation
-        {
-            self.askers.remove(&old);
-            for pool in self.pools.values_mut() {
-                pool.drop_incarnation(old);
-            }
-        }
-        if known.is_none() {
-            self.introduce(from);
-        }
-        let state = member.state;
-        let incarnation = member.incarnation;
-        if self.members.heard(member, now) {
-            log::info!(
-                "event=member_changed member={id} incarnation={incarnation:x} state={state:?} region={region}"
-            );
-            self.follow_keepers(now);
-            let heartbeat = self.own_heartbeat(now);
-            self.send(from, heartbeat);
-        }
-        if region != self.members.own.region {
-            let from_id = self.members.own.id.clone();
-            self.send(
-                from,
-                Message::Echo {
-                    from: from_id,
-                    sent_us,
-                },
-            );
-        }
-    }
-
-    /// Tells an entry VM that was unknown about the others.
-    fn introduce(&mut self, to: SocketAddr) {
-        const AT_ONCE: usize = 16;
-        let members: Vec<Member> = self.members.met().cloned().collect();
-        for some in members.chunks(AT_ONCE) {
-            self.send(to, Message::Introduce(some.to_vec()));
-        }
-    }
-
     fn receive_echo(&mut self, id: &str, sent_us: u64, now: Duration) {
         let Some(region) = self.members.get(id).map(|m| m.region.clone()) else {
             return;
--- a/components/gateway/src/dispatcher/inner.rs
+++ b/components/gateway/src/dispatcher/inner.rs
@@ -11,6 +11,7 @@
 };
 
 use super::Request;
+use super::heartbeats::Due;
 use super::timing::{ASK_REPEAT, WAIT_CHECK};
 use crate::message::Message;
 use crate::settings::Settings;
@@ -54,7 +55,6 @@
 #[derive(Debug)]
 pub(super) struct Inner {
     pub members: Members,
-    pub generation: u64,
     /// Regions of all failure domains.
     pub domains: BTreeMap<DomainId, RegionId>,
     pub seeds: Vec<SocketAddr>,
@@ -67,9 +67,7 @@
     pub round_trips: BTreeMap<RegionId, Duration>,
     /// Addresses of the incarnations that have asked.
     pub askers: HashMap<u64, SocketAddr>,
-    pub next_near: Duration,
-    pub next_far: Duration,
-    pub next_quiet: Duration,
+    pub due: Due,
     pub next_report: Duration,
     /// Members that were silent for long, until they are taken.
     pub forgotten: Vec<Member>,
@@ -80,7 +78,6 @@
     pub fn new(settings: &Settings, own: Member) -> Self {
         Inner {
             members: Members::new(own),
-            generation: 0,
             domains: settings.domains.clone(),
             seeds: settings.seeds.clone(),
             pools: BTreeMap::new(),
@@ -91,9 +88,7 @@
             unconfirmed: HashMap::new(),
             round_trips: BTreeMap::new(),
             askers: HashMap::new(),
-            next_near: Duration::ZERO,
-            next_far: Duration::ZERO,
-            next_quiet: Duration::ZERO,
+            due: Due::default(),
             next_report: Duration::ZERO,
             forgotten: Vec::new(),
             outbox: Vec::new(),
@@ -110,14 +105,14 @@
 
     pub fn set_state(&mut self, state: State, now: Duration) {
         self.members.own.state = state;
-        self.heartbeat(true, true, now);
+        self.tell_change(now);
         self.follow_keepers(now);
     }
 
     pub fn set_informed(&mut self, informed: bool, now: Duration) {
         if self.members.own.informed != informed {
             self.members.own.informed = informed;
-            self.heartbeat(true, true, now);
+            self.tell_change(now);
             self.follow_keepers(now);
         }
     }
@@ -164,8 +159,7 @@
     pub fn add_member(&mut self, member: Member, now: Duration) {
         let to = member.peers;
         if self.members.add(member, now) {
-            let heartbeat = self.own_heartbeat(now);
-            self.send(to, heartbeat);
+            self.describe(to);
         }
     }
 
--- a/components/gateway/src/dispatcher/periodic.rs
+++ b/components/gateway/src/dispatcher/periodic.rs
@@ -1,46 +1,20 @@
-//! Heartbeats, reports and the repetition of messages that were lost.
+//! Reports and the repetition of messages that were lost.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use config::{RegionId, ServiceId};
-use dispatch::{Member, Members, State};
+use dispatch::State;
 
 use super::inner::Inner;
-use super::timing::{
-    ASK_TRIES, END_REPEAT, END_TRIES, FAR_HEARTBEAT, NEAR_HEARTBEAT, POOL_REPORT, QUIET_HEARTBEAT,
-};
+use super::timing::{ASK_TRIES, END_REPEAT, END_TRIES, POOL_REPORT};
 use crate::message::Message;
 
 impl Inner {
     /// Does what is due.
     pub fn tick(&mut self, now: Duration) {
-        let near = now >= self.next_near;
-        let far = now >= self.next_far;
-        if near {
-            self.next_near = now + NEAR_HEARTBEAT;
-            let forgotten = self.members.expire(now);
-            for member in &forgotten {
-                log::info!("event=member_forgotten member={}", member.id);
-            }
-            self.forgotten.extend(forgotten);
-            let isolated = self.members.isolated(now);
-            for pool in self.pools.values_mut() {
-                pool.set_isolated(isolated);
-            }
-            self.follow_keepers(now);
-        }
-        if far {
-            self.next_far = now + FAR_HEARTBEAT;
-        }
-        if near || far {
-            self.heartbeat(near, far, now);
-        }
-        if now >= self.next_quiet {
-            self.next_quiet = now + QUIET_HEARTBEAT;
-            self.heartbeat_to(|members, m| members.quiet(&m.id, now), now);
-        }
+        self.tell(now);
         if now >= self.next_report {
             self.next_report = now + POOL_REPORT;
             self.report_pools(now);
@@ -50,40 +24,6 @@
         self.decide_all(now);
     }
 
-    pub fn own_heartbeat(&self, now: Duration) -> Message {
-        Message::Heartbeat {
-            member: self.members.own.clone(),
-            generation: self.generation,
-            sent_us: now.as_micros() as u64,
-        }
-    }
-
-    /// Tells the members that are heard, in the own region or in others, that this one is alive.
-    pub fn heartbeat(&mut self, near: bool, far: bool, now: Duration) {
-        let region = self.members.own.region.clone();
-        let due = |m: &Member| if m.region == region { near } else { far };
-        self.heartbeat_to(|members, m| due(m) && !members.quiet(&m.id, now), now);
-        if far && self.members.others().next().is_none() {
-            let own = self.members.own.peers;
-            let heartbeat = self.own_heartbeat(now);
-            for seed in self.seeds.clone() {
-                if seed != own {
-                    self.send(seed, heartbeat.clone());
-                }
-            }
-        }
-    }
-
-    fn heartbeat_to(&mut self, choose: impl Fn(&Members, &Member) -> bool, now: Duration) {
-        let heartbeat = self.own_heartbeat(now);
-        let members = &self.members;
-        let chosen = members.others().filter(|m| choose(members, m));
-        let to: Vec<SocketAddr> = chosen.map(|m| m.peers).collect();
-        for address in to {
-            self.send(address, heartbeat.clone());
-        }
-    }
-
     /// Reports the pools that this entry VM keeps to those that keep them in other regions.
     fn report_pools(&mut self, now: Duration) {
         let own = self.members.own.clone();
--- a/components/gateway/src/dispatcher/timing.rs
+++ b/components/gateway/src/dispatcher/timing.rs
@@ -6,11 +6,19 @@
 pub const TICK: Duration = Duration::from_millis(20);
 /// Time between heartbeats to entry VMs of the region.
 pub const NEAR_HEARTBEAT: Duration = Duration::from_millis(200);
-/// Time between heartbeats to entry VMs of other regions.
+/// Time between heartbeats to other regions by an entry VM that speaks for its region.
 pub const FAR_HEARTBEAT: Duration = Duration::from_millis(550);
+/// Time between heartbeats to other regions by any entry VM; keeps it known there. Half of the
+/// silence after which heartbeats to it become few.
+pub const RARE_HEARTBEAT: Duration = Duration::from_secs(30);
 /// Time between heartbeats to entry VMs that have been silent for long; bounds how late two sides
 /// of a partition meet again.
 pub const QUIET_HEARTBEAT: Duration = Duration::from_secs(2);
+/// Time between measurements of the round trips to other regions.
+pub const ROUND_TRIP_PERIOD: Duration = Duration::from_millis(1100);
+/// Time between comparisons of the known entry VMs with those that another one knows. Each finds
+/// what was missed when both started at the same time, or without the platform.
+pub const COMPARISON: Duration = Duration::from_secs(5);
 /// Time between reports of pools to other regions.
 pub const POOL_REPORT: Duration = Duration::from_millis(100);
 /// Time after which an unanswered ask is repeated; over ten round trips between domains.
--- a/components/gateway/src/message.rs
+++ b/components/gateway/src/message.rs
@@ -1,7 +1,7 @@
 //! Datagrams between entry VMs, encoded with `rmp-serde`.
 
 use config::{EntryVmId, Incarnation, RegionId, ServiceId};
-use dispatch::{Ask, AskId, Decision, Grant, Load, Member, Outcome, Snapshot};
+use dispatch::{Ask, AskId, Decision, Grant, Load, Member, Outcome, Snapshot, State};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -11,22 +11,33 @@
 /// A message between entry VMs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    /// The sender is alive.
-    Heartbeat {
-        /// The sender.
-        member: Member,
-        /// Configuration in force at the sender.
-        generation: u64,
+    /// Describes the sender, which is alive.
+    Heartbeat(Member),
+    /// The sender is alive; the receiver knows the rest.
+    Alive {
+        /// Incarnation of the sender.
+        incarnation: Incarnation,
+        /// What it does.
+        state: State,
+        /// Whether it hears of changes from the platform.
+        informed: bool,
+    },
+    /// Asks for the description of the receiver.
+    Describe,
+    /// Asks for an echo, to measure the round trip.
+    Ping {
         /// Uptime of the sender in microseconds; comes back in the echo.
         sent_us: u64,
     },
-    /// Answer to a heartbeat of another region.
+    /// Answer to a ping.
     Echo {
         /// Who answers.
         from: EntryVmId,
-        /// As in the heartbeat.
+        /// As in the ping.
         sent_us: u64,
     },
+    /// Digest of the members that the sender knows; one that knows others introduces them.
+    Compare(u64),
     /// Members that the receiver may not know.
     Introduce(Vec<Member>),
     /// Asks the keeper of a pool for a slot.
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -1,6 +1,7 @@
 //! State that the tasks of an entry VM share.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -118,7 +119,6 @@
             self.configure_pools(&table);
             *routes = Some(Arc::new(table));
         }
-        self.dispatcher.set_generation(generation);
         log::info!("event=configuration_in_force generation={generation}");
         metrics::gauge!("gateway_configuration_generation").set(generation as f64);
         self.update_state();
@@ -176,6 +176,19 @@
         self.dispatcher.add_member(member);
     }
 
+    /// Returns the peer addresses of the entry VMs of the failure domain in an order on which all
+    /// agree; `None` for this one.
+    pub fn domain_order(&self, purpose: &str) -> Vec<Option<SocketAddr>> {
+        self.dispatcher.domain_order(purpose)
+    }
+
+    /// Returns the peer addresses of the other entry VMs that serve.
+    pub fn serving(&self) -> Vec<SocketAddr> {
+        let own = self.own().id;
+        let serving = self.dispatcher.serving().into_iter();
+        serving.filter(|m| m.id != own).map(|m| m.peers).collect()
+    }
+
     /// Takes the entry VMs of the region that have been silent for so long that they were forgotten.
     pub fn take_forgotten(&self) -> Vec<Member> {
         let region = &self.settings().region;
