Do not send a request again that was lost in another region

Ruled out: the hedge in one region, which counts its sends.

Change: a request that was lost in another region counts as sent to all the servers that it may be sent to; the caller gets 502 and may repeat it.

--- a/components/gateway/src/relay/forward.rs
+++ b/components/gateway/src/relay/forward.rs
@@ -80,8 +80,8 @@
         }
         Some(Err(Failure::Lost(e))) => {
             trace.failed(region, "forward_lost", &e.to_string(), took);
-            let again = !plan.route.binding && plan.route.max_attempts > 1;
-            lost(tried, again, Code::AnswerLost)
+            // The other region may have sent it to as many servers as the route allows.
+            lost(tried, false, Code::AnswerLost)
         }
         None => {
             trace.attempt(region, "forward_silent", took);
--- a/components/gateway/tests/relay/main.rs
+++ b/components/gateway/tests/relay/main.rs
@@ -2,5 +2,6 @@
 
 mod answers;
 mod callers;
+mod forward;
 mod stop;
 mod world;
--- a/components/gateway/tests/relay/world.rs
+++ b/components/gateway/tests/relay/world.rs
@@ -175,7 +175,11 @@
     pub fn start(backends: &[&Backend]) -> Self {
         run_executor();
         let settings = Settings {
-            domains: [("north".into(), "donau".into())].into(),
+            domains: [
+                ("north".into(), "donau".into()),
+                ("west".into(), "alpen".into()),
+            ]
+            .into(),
             domain: "north".into(),
             region: "donau".into(),
             callers: free_address(),
