--- a/components/dispatch/src/members.rs
+++ b/components/dispatch/src/members.rs
@@ -16,7 +16,7 @@
 const QUIET: Duration = Duration::from_secs(65);
 /// Silence after which a member is forgotten. Longer than any usual partition, because two members
 /// that have forgotten each other meet again only through a third one.
-const FORGET: Duration = Duration::from_secs(600);
+const FORGET: Duration = Duration::from_mins(10);
 
 /// What an entry VM does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -100,15 +100,16 @@
             return false;
         }
         let silence = self.silence(&member);
+        let changed = self.others.get(&member.id).is_none_or(|old| {
+            old.member != member || old.heard.is_none_or(|at| at + silence <= now)
+        });
         let known = Known {
-            member: member.clone(),
             heard: Some(now),
             since: now,
+            member,
         };
-        match self.others.insert(member.id.clone(), known) {
-            Some(old) => old.member != member || old.heard.is_none_or(|at| at + silence <= now),
-            None => true,
-        }
+        self.others.insert(known.member.id.clone(), known);
+        changed
     }
 
     /// Time of silence after which a member is not used.
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -71,6 +71,7 @@
 impl Settings {
     /// Returns the settings that are in force after a change to `new`: names and addresses stay
     /// until the next start.
+    #[must_use]
     pub fn updated(&self, new: &Settings) -> Settings {
         Settings {
             id: self.id.clone(),
--- a/components/replica/src/table.rs
+++ b/components/replica/src/table.rs
@@ -33,11 +33,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Outdated;
 
+/// Value of a row, `None` if it was removed, and the transaction that wrote it.
+type Entry = (Option<Vec<u8>>, Version);
+
 /// A table.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     /// Rows by key, removed ones too.
-    rows: BTreeMap<Box<str>, (Option<Vec<u8>>, Version)>,
+    rows: BTreeMap<Box<str>, Entry>,
     position: Option<Version>,
     /// Changes after this transaction are known.
     remembered_from: Version,
@@ -102,17 +105,14 @@
         Ok(rows)
     }
 
-    fn rows_of<'a>(
-        &self,
-        rows: impl Iterator<Item = (&'a Box<str>, &'a (Option<Vec<u8>>, Version))>,
-    ) -> Rows {
-        let row = |(key, (value, version)): (&Box<str>, &(Option<Vec<u8>>, Version))| Row {
+    fn rows_of<'a>(&self, rows: impl Iterator<Item = (&'a Box<str>, &'a Entry)>) -> Rows {
+        let rows = rows.map(|(key, (value, version))| Row {
             key: key.clone(),
             value: value.clone(),
             version: *version,
-        };
+        });
         Rows {
-            rows: rows.map(row).collect(),
+            rows: rows.collect(),
             version: self.position.unwrap_or(0),
         }
     }
