Keep objects at their servers

Of the requests that found none, 70 in 100 ran although a server with their object had a free slot: the order of servers and measured speeds outweighed the warm data, a freed slot went to the first request in the queue whatever it needed, and each stray run displaced another object.

Now slots go first to the requests whose objects their servers hold; a request whose server is busy goes elsewhere only if a server is idle; objects that are held nowhere go to the first server of their order unless they would displace one that was asked for lately, so that a new keeper finds them; the number of objects that a server keeps is taken from all answers by depth.

Ruled out, on the simulation: one place for an object in all regions (a region's servers are enough), a lower share that regions keep (no difference).

Tests in placement.rs, of which two failed before.

--- a/components/dispatch/src/pool.rs
+++ b/components/dispatch/src/pool.rs
@@ -32,6 +32,15 @@
 /// Ended requests that are remembered, to ignore repeated messages about them.
 const REMEMBERED: usize = 1024;
 
+/// Which servers a request may run at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Data {
+    /// Those that have warm data of its object, if it has one.
+    Warm,
+    /// All.
+    Any,
+}
+
 /// A slot in use.
 #[derive(Clone, Debug)]
 struct Held {
@@ -319,8 +328,9 @@
         let mut decisions = queue.take(|_, w| {
             self.keep_away(w, now)
                 .or_else(|| self.send_away(w, now))
-                .or_else(|| self.grant(w, now))
+                .or_else(|| self.grant(w, Data::Warm, now))
         });
+        decisions.extend(queue.take(|_, w| self.grant(w, Data::Any, now)));
         decisions.extend(queue.take(|position, w| self.forward(w, position, capacity, now)));
         let overloaded = queue.standing(now) > self.cfg.standing_queue;
         let length = queue.len();
--- a/components/dispatch/src/pool/grant.rs
+++ b/components/dispatch/src/pool/grant.rs
@@ -2,12 +2,20 @@
 
 use std::time::Duration;
 
-use super::{AskId, Decision, Grant, Held, Pool, RefuseReason};
+use super::{AskId, Data, Decision, Grant, Held, Pool, RefuseReason};
 use crate::pool::GRANT_SLACK;
 use crate::queue::Waiting;
+use crate::server::Tracked;
+use crate::warmth::Warmth;
 
+/// Multiple of the expected service time after which an attempt counts as slow.
+const SLOW_FACTOR: f64 = 2.0;
+/// Multiple of the service time without warm data before which no attempt counts as slow.
+const COLD_SLOW_FACTOR: f64 = 1.3;
 /// Weight of an object's order of servers against their speed.
-const ORDER_WEIGHT: f64 = 0.5;
+const ORDER_WEIGHT: f64 = 32.0;
+/// Age at which a displaced object counts half.
+const DISPLACED_HALF: Duration = Duration::from_secs(1);
 /// Shortest time after which a refused caller is asked to come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(100);
 /// Longest time after which a refused caller is asked to come back.
@@ -17,7 +25,12 @@
 const TAKEOVER: Duration = Duration::from_millis(1100);
 
 impl Pool {
-    pub(super) fn grant(&mut self, waiting: &Waiting, now: Duration) -> Option<(AskId, Decision)> {
+    pub(super) fn grant(
+        &mut self,
+        waiting: &Waiting,
+        data: Data,
+        now: Duration,
+    ) -> Option<(AskId, Decision)> {
         let ask = &waiting.ask;
         if ask.repeat && !self.may_repeat(now) {
             let retry_after = SHORTEST_RETRY;
@@ -33,6 +46,7 @@
         let no_cold = ask.stopgap || self.isolated || now < self.kept_since + TAKEOVER;
         let cfg = &self.cfg;
         let warmth = &self.warmth;
+        let saved = self.saved();
         let best = self
             .servers
             .values_mut()
@@ -44,20 +58,34 @@
                         .object
                         .is_some_and(|o| warmth.is_warm(s.recent.depth(o)));
                     let expected = warmth.expected(warm).mul_f64(s.slowness(now, cfg));
-                    let mut time = expected.mul_f64(1.0 + ORDER_WEIGHT * s.order(ask.object));
+                    let mut time = expected;
+                    if !warm {
+                        time = time.mul_f64(1.0 + ORDER_WEIGHT * s.order(ask.object));
+                        if ask.object.is_some() {
+                            time += displacement(s, warmth, saved, now);
+                        }
+                    }
                     if s.server.domain != ask.domain {
                         time += cfg.cross_domain_cost;
                     }
-                    (time, warm, expected, s.server.id.clone())
+                    let idle = s.in_flight * 2 < s.server.slots;
+                    (time, warm, idle, s.server.id.clone())
                 })
             })
             .min_by_key(|(time, ..)| *time);
-        let (_, warm, expected, id) = best?;
-        if ask.object.is_some() && !warm && self.worth_waiting(waiting, now) {
+        let (_, warm, idle, id) = best?;
+        if ask.object.is_some() && !warm && data == Data::Warm {
+            return None;
+        }
+        if ask.object.is_some() && !warm && self.worth_waiting(waiting, idle, now) {
             return None;
         }
         let best = self.servers.get_mut(&id)?;
         let depth = best.admit(now, ask.object);
+        let usual = self.warmth.expected(warm).mul_f64(SLOW_FACTOR);
+        // A server that has displaced the object after all is not slow.
+        let cold = self.warmth.expected(false).mul_f64(COLD_SLOW_FACTOR);
+        let slow_after = usual.max(cold).mul_f64(best.slowness(now, &self.cfg));
         if !ask.regions.is_empty() {
             self.shift.record(waiting.wanted.as_ref(), None, now);
         }
@@ -65,7 +93,7 @@
             server: best.server.id.clone(),
             address: best.server.address,
             cold: best.cold(now),
-            expected,
+            slow_after,
         };
         let sends = if ask.repeat {
             &mut self.repeats
@@ -84,25 +112,40 @@
         Some((ask.id, Decision::Grant(grant)))
     }
 
+    /// Time that warm data saves.
+    fn saved(&self) -> Duration {
+        let cold = self.warmth.expected(false);
+        cold.saturating_sub(self.warmth.expected(true))
+    }
+
     /// Tells whether a request is better off waiting for a busy server that holds its object warm
-    /// than running without warm data.
-    pub(super) fn worth_waiting(&self, waiting: &Waiting, now: Duration) -> bool {
+    /// than running without warm data. The longer service time takes slots from others, so after
+    /// a while only an idle server is used instead.
+    pub(super) fn worth_waiting(&self, waiting: &Waiting, idle: bool, now: Duration) -> bool {
         let ask = &waiting.ask;
-        let saved = self
-            .warmth
-            .expected(false)
-            .saturating_sub(self.warmth.expected(true));
-        if now.saturating_sub(waiting.since) >= saved.mul_f64(self.cfg.warm_wait) {
+        let patient = now.saturating_sub(waiting.since) < self.saved().mul_f64(self.cfg.warm_wait);
+        if idle && !patient {
             return false;
         }
-        self.servers.values().any(|s| {
-            let warm = ask
-                .object
-                .is_some_and(|o| self.warmth.is_warm(s.recent.depth(o)));
-            warm && s.in_use(now)
-                && s.in_flight >= s.server.slots
+        let Some(object) = ask.object else {
+            return false;
+        };
+        let cold = self.warmth.expected(false);
+        let warm = self.warmth.expected(true);
+        let usable = |s: &&Tracked| {
+            s.in_use(now)
+                && warm.mul_f64(s.slowness(now, &self.cfg)) < cold
                 && !ask.avoid.contains(&s.server.id)
-        })
+        };
+        let holds = |s: &&Tracked| self.warmth.is_warm(s.recent.depth(object));
+        let busy = |s: &Tracked| s.in_flight >= s.server.slots;
+        if self.servers.values().any(|s| holds(&s)) {
+            return self.servers.values().filter(usable).filter(holds).any(busy);
+        }
+        // A former keeper has probably placed the object at the first server of its order.
+        let first = self.servers.values().filter(usable);
+        let first = first.min_by(|a, b| a.order(Some(object)).total_cmp(&b.order(Some(object))));
+        patient && first.is_some_and(busy)
     }
 
     pub(super) fn may_repeat(&mut self, now: Duration) -> bool {
@@ -151,3 +194,15 @@
         ))
     }
 }
+
+/// Cost of displacing an object at a server: the time that its warm data would have saved, the less
+/// the longer it has not been asked for.
+fn displacement(server: &Tracked, warmth: &Warmth, saved: Duration, now: Duration) -> Duration {
+    server
+        .recent
+        .displaced(warmth.kept(), now)
+        .map_or(Duration::ZERO, |age| {
+            let half = DISPLACED_HALF.as_secs_f64();
+            saved.mul_f64(half / (half + age.as_secs_f64()))
+        })
+}
--- a/components/dispatch/src/pool/types.rs
+++ b/components/dispatch/src/pool/types.rs
@@ -51,8 +51,8 @@
     pub address: SocketAddr,
     /// Whether the server is cold, as far as the keeper knows.
     pub cold: bool,
-    /// Expected time of the answer.
-    pub expected: Duration,
+    /// Time after which the attempt counts as slow.
+    pub slow_after: Duration,
 }
 
 /// Why a request is refused; none of these requests has run.
--- a/components/dispatch/src/server.rs
+++ b/components/dispatch/src/server.rs
@@ -135,7 +135,7 @@
         if self.cold(now) {
             self.cold_sends.record(now);
         }
-        object.and_then(|o| self.recent.touch(o))
+        object.and_then(|o| self.recent.touch(o, now))
     }
 
     /// Place of the server in the order of an object, from 0 for the first to 1. All entry VMs
--- a/components/dispatch/src/settings.rs
+++ b/components/dispatch/src/settings.rs
@@ -47,7 +47,7 @@
             // Requests that are refused within an eighth of their target cost nothing.
             overload_wait: 0.125,
             normal_wait: 0.45,
-            warm_wait: 0.4,
+            warm_wait: 0.8,
             cold_factor: 2.0,
             cross_domain_cost: Duration::from_millis(8),
         }
--- a/components/dispatch/src/warmth.rs
+++ b/components/dispatch/src/warmth.rs
@@ -5,18 +5,16 @@
 
 use std::time::Duration;
 
-/// Objects of each server that are remembered; above the estimate of any capacity.
-const REMEMBERED: usize = 256;
+/// Objects of each server that are remembered; above the capacity of any server.
+const REMEMBERED: usize = 128;
 /// First estimate of the objects that a server keeps.
-const FIRST_CAPACITY: f64 = 24.0;
-/// Smallest estimate.
-const LEAST_CAPACITY: f64 = 4.0;
-/// Part of the capacity around its limit in which latencies change the estimate.
-const MARGIN: f64 = 0.25;
-/// Growth after a fast answer beyond the limit.
-const GROWTH: f64 = 0.5;
-/// Shrinkage after a slow answer within the limit; smaller, because slow servers look the same.
-const SHRINKAGE: f64 = 0.2;
+const FIRST_CAPACITY: usize = 24;
+/// Answers for which the first estimate counts at each depth.
+const PRIOR: f32 = 1.0;
+/// Samples after which older ones count nine tenths.
+const DECAY_PERIOD: u32 = 64;
+/// Part of the older samples that stays.
+const DECAY: f32 = 0.9;
 /// Weight of the newest latency.
 const WEIGHT: f64 = 0.05;
 /// Latencies above this multiple of the expected one count as this multiple.
@@ -26,10 +24,11 @@
 /// Part of the service time without warm data that is expected with it, before it was measured.
 const FIRST_FACTOR: f64 = 0.5;
 
-/// Objects that a server handled, the latest first.
+/// Objects that a server handled, the latest first, and when.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Recent {
     objects: Vec<u64>,
+    handled: Vec<Duration>,
 }
 
 impl Recent {
@@ -39,26 +38,42 @@
     }
 
     /// Records that an object is handled; returns its depth before.
-    pub fn touch(&mut self, object: u64) -> Option<usize> {
+    pub fn touch(&mut self, object: u64, now: Duration) -> Option<usize> {
         let depth = self.depth(object);
         if let Some(d) = depth {
             self.objects[..=d].rotate_right(1);
+            self.handled[..=d].rotate_right(1);
         } else {
             self.objects.truncate(REMEMBERED - 1);
+            self.handled.truncate(REMEMBERED - 1);
             self.objects.insert(0, object);
+            self.handled.insert(0, now);
         }
+        self.handled[0] = now;
         depth
     }
 
+    /// Returns for how long the object has not been asked for that one more would displace at a
+    /// server that keeps `kept`; `None` if there is room.
+    pub fn displaced(&self, kept: usize, now: Duration) -> Option<Duration> {
+        let last = self.handled.get(kept.saturating_sub(1))?;
+        Some(now.saturating_sub(*last))
+    }
+
     pub fn clear(&mut self) {
         self.objects.clear();
+        self.handled.clear();
     }
 }
 
 /// Service times with and without warm data, and the objects that a server keeps.
 #[derive(Clone, Debug)]
 pub(crate) struct Warmth {
-    capacity: f64,
+    capacity: usize,
+    /// Fast and slow answers by the depth of their object.
+    fast: [f32; REMEMBERED],
+    slow: [f32; REMEMBERED],
+    samples: u32,
     warm: Option<Duration>,
     cold: Option<Duration>,
     /// Over all requests.
@@ -69,6 +84,9 @@
     fn default() -> Self {
         Warmth {
             capacity: FIRST_CAPACITY,
+            fast: std::array::from_fn(|d| if d < FIRST_CAPACITY { PRIOR } else { 0.0 }),
+            slow: std::array::from_fn(|d| if d < FIRST_CAPACITY { 0.0 } else { PRIOR }),
+            samples: 0,
             warm: None,
             cold: None,
             usual: None,
@@ -79,7 +97,12 @@
 impl Warmth {
     /// Tells whether an object at this depth is taken to be warm.
     pub fn is_warm(&self, depth: Option<usize>) -> bool {
-        depth.is_some_and(|d| (d as f64) < self.capacity)
+        depth.is_some_and(|d| d < self.capacity)
+    }
+
+    /// Returns how many objects a server is taken to keep.
+    pub fn kept(&self) -> usize {
+        self.capacity
     }
 
     /// Expected service time.
@@ -109,21 +132,37 @@
             self.cold = Some(smooth(self.cold, counted));
         }
         self.usual = Some(smooth(self.usual, counted));
-        if let Some(depth) = depth.filter(|_| sticky) {
-            self.learn_capacity(depth as f64, latency);
+        if let Some(depth) = depth.filter(|d| sticky && *d < REMEMBERED) {
+            self.learn_capacity(depth, latency);
         }
     }
 
-    fn learn_capacity(&mut self, depth: f64, latency: Duration) {
+    /// Takes the capacity that contradicts the fewest answers: slow ones of objects within it, and
+    /// fast ones of objects beyond it.
+    fn learn_capacity(&mut self, depth: usize, latency: Duration) {
         let between = (self.expected(true) + self.expected(false)) / 2;
-        let fast = latency < between;
-        let near = (depth - self.capacity).abs() <= 1.0 + self.capacity * MARGIN;
-        if near && fast && depth >= self.capacity {
-            self.capacity += GROWTH;
-        } else if near && !fast && depth < self.capacity {
-            self.capacity -= SHRINKAGE;
+        let counts = if latency < between {
+            &mut self.fast
+        } else {
+            &mut self.slow
+        };
+        counts[depth] += 1.0;
+        self.samples += 1;
+        if self.samples.is_multiple_of(DECAY_PERIOD) {
+            for count in self.fast.iter_mut().chain(&mut self.slow) {
+                *count *= DECAY;
+            }
+        }
+        let mut wrong: f32 = self.fast.iter().sum();
+        let mut best = (wrong, usize::MAX, 0);
+        for capacity in 1..=REMEMBERED {
+            wrong += self.slow[capacity - 1] - self.fast[capacity - 1];
+            let candidate = (wrong, capacity.abs_diff(self.capacity), capacity);
+            if (candidate.0, candidate.1) < (best.0, best.1) {
+                best = candidate;
+            }
         }
-        self.capacity = self.capacity.clamp(LEAST_CAPACITY, REMEMBERED as f64);
+        self.capacity = best.2.max(1);
     }
 }
 
--- a/components/dispatch/tests/pool/main.rs
+++ b/components/dispatch/tests/pool/main.rs
@@ -2,4 +2,6 @@
 
 mod common;
 mod decisions;
+mod placement;
 mod shift;
+mod simulation;
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -23,9 +23,7 @@
 /// Longest idle time of a connection on which a binding request is sent. A server that closes the
 /// connection meanwhile would leave its outcome unknown.
 pub(super) const BINDING_IDLE: Duration = Duration::from_secs(1);
-/// Multiple of the expected time after which an idempotent request is also sent to another server.
-const SLOW_FACTOR: f64 = 2.0;
-/// Least such time, in which delays of the network do not count as slow.
+/// Least time after which an attempt counts as slow; delays of the network do not.
 const LEAST_SLOW: Duration = Duration::from_millis(50);
 /// Tries to find a spare slot for a second attempt in that time.
 const SPARE_TRIES: u32 = 4;
@@ -74,7 +72,7 @@
     }
     tried.avoid.push(slot.grant.server.clone());
     let again = !plan.route.binding && tried.sends + 1 < plan.route.max_attempts;
-    let slow_after = slow_after(slot.grant.expected, again, left);
+    let slow_after = slow_after(slot.grant.slow_after, again, left);
     let first = attempt(node, req, plan, slot, slow_after);
     let finished = if slow_after < left {
         hedged(node, req, plan, tried, first, slow_after, trace).await
@@ -231,11 +229,11 @@
     }
 }
 
-/// Time after which an attempt counts as slow; all of `left` if there is no time or no attempt
-/// left for another server.
-fn slow_after(expected: Duration, again: bool, left: Duration) -> Duration {
-    let slow = expected.mul_f64(SLOW_FACTOR).max(LEAST_SLOW);
-    if again && slow + expected < left {
+/// Time after which an idempotent request is also sent to another server; all of `left` if there is
+/// no time or no attempt left for it.
+fn slow_after(slow: Duration, again: bool, left: Duration) -> Duration {
+    let slow = slow.max(LEAST_SLOW);
+    if again && slow.mul_f64(1.5) < left {
         slow
     } else {
         left
