Do not count a server as failing that another was faster than

Cause: when the second attempt of a slow request won, the first server's outcome was recorded as silent, a failure; two of them limit a server to one request at a time, and its objects move away.

Now it counts as slow in the latency only.

--- a/components/dispatch/src/health.rs
+++ b/components/dispatch/src/health.rs
@@ -32,6 +32,8 @@
     Unreachable,
     /// No answer came within the time that the request had.
     Silent,
+    /// Another server answered first, or the caller left, after this one had become slow.
+    Slow,
     /// The caller left or another server answered first.
     Cancelled,
     /// The granted slot was not used.
@@ -102,13 +104,18 @@
             }
             Outcome::Silent => {
                 self.fail(1.0);
-                self.relative += LATENCY_WEIGHT * (RELATIVE_BOUNDS.1 - self.relative);
+                self.slow_down();
             }
+            Outcome::Slow => self.slow_down(),
             Outcome::Leaving => self.paused_until = now + LEAVING_PAUSE,
             Outcome::Cold | Outcome::Cancelled | Outcome::Unused => {}
         }
     }
 
+    fn slow_down(&mut self) {
+        self.relative += LATENCY_WEIGHT * (RELATIVE_BOUNDS.1 - self.relative);
+    }
+
     fn fail(&mut self, failed: f64) {
         self.failure_rate += RATE_WEIGHT * (failed - self.failure_rate);
     }
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -167,7 +167,7 @@
     let mut exchange = pin!(exchange(&outgoing, names, &node.idle, || node.now()));
     let mut result = runtime::timeout(slow_after.min(left), &mut exchange).await;
     if result.is_none() && slow_after < left {
-        slot.set_outcome(Outcome::Silent);
+        slot.set_outcome(Outcome::Slow);
         result = runtime::timeout(left.saturating_sub(slow_after), exchange).await;
     }
     let took = node.now().saturating_sub(start);
