--- a/components/dispatch/src/members.rs
+++ b/components/dispatch/src/members.rs
@@ -55,6 +55,7 @@
 pub struct Members {
     /// The entry VM itself.
     pub own: Member,
+    own_hash: u64,
     others: BTreeMap<EntryVmId, Known>,
 }
 
@@ -66,12 +67,26 @@
     heard: Option<Duration>,
     /// Last heartbeat, or when the member was added.
     since: Duration,
+    /// Hash of the name.
+    hash: u64,
+}
+
+impl Known {
+    fn new(member: Member, heard: Option<Duration>, since: Duration) -> Self {
+        Known {
+            hash: hash(&member.id),
+            member,
+            heard,
+            since,
+        }
+    }
 }
 
 impl Members {
     /// Creates a list of one.
     pub fn new(own: Member) -> Self {
         Members {
+            own_hash: hash(&own.id),
             own,
             others: BTreeMap::new(),
         }
@@ -86,11 +101,7 @@
         if known.is_some_and(|k| k.heard.is_some() || k.member.incarnation == member.incarnation) {
             return false;
         }
-        let known = Known {
-            member,
-            heard: None,
-            since: now,
-        };
+        let known = Known::new(member, None, now);
         self.others.insert(known.member.id.clone(), known).is_none()
     }
 
@@ -103,11 +114,7 @@
         let changed = self.others.get(&member.id).is_none_or(|old| {
             old.member != member || old.heard.is_none_or(|at| at + silence <= now)
         });
-        let known = Known {
-            heard: Some(now),
-            since: now,
-            member,
-        };
+        let known = Known::new(member, Some(now), now);
         self.others.insert(known.member.id.clone(), known);
         changed
     }
@@ -162,16 +169,16 @@
     /// Returns a digest of the members that have sent a heartbeat, and of this one.
     pub fn digest(&self) -> u64 {
         let all = self.met().chain(std::iter::once(&self.own));
-        all.fold(0, |sum, m| sum ^ hash(&m.id, &m.incarnation.to_le_bytes()))
+        all.fold(0, |sum, m| sum ^ mix(hash(&m.id), m.incarnation))
     }
 
     /// Tells whether this member is one of the `count` of its region that stand first in an order
     /// on which all agree.
     pub fn is_delegate(&self, count: usize, now: Duration) -> bool {
-        let own = hash(&self.own.id, &[]);
-        let before = |m: &&Member| m.region == self.own.region && hash(&m.id, &[]) > own;
-        let serving = self.serving(now);
-        self.own.state == State::Ready && serving.into_iter().filter(before).count() < count
+        let own = self.own_hash;
+        let before = self.serving_others(now).filter(|k| k.hash > own);
+        let before = before.filter(|k| k.member.region == self.own.region);
+        self.own.state == State::Ready && before.count() < count
     }
 
     /// Tells whether a member serves and has been heard lately.
@@ -179,32 +186,37 @@
         if id == &*self.own.id {
             return self.own.state == State::Ready;
         }
-        self.others.get(id).is_some_and(|k| {
-            let silence = self.silence(&k.member);
-            k.member.state == State::Ready && k.heard.is_some_and(|at| at + silence > now)
-        })
-    }
-
-    /// Returns the members of the own failure domain that are heard and do not leave, itself
-    /// included, in an order on which all agree.
-    pub fn domain_order(&self, purpose: &str, now: Duration) -> Vec<&Member> {
-        let heard = |k: &&Known| {
-            let silence = self.silence(&k.member);
-            k.heard.is_some_and(|at| at + silence > now)
-        };
-        let others = self.others.values().filter(heard).map(|k| &k.member);
-        let others = others.filter(|m| m.domain == self.own.domain && m.state != State::Leaving);
-        let mut members: Vec<&Member> = others.chain(std::iter::once(&self.own)).collect();
-        members.sort_by_key(|m| std::cmp::Reverse(hash(purpose, m.id.as_bytes())));
-        members
+        self.others.get(id).is_some_and(|k| self.serves(k, now))
+    }
+
+    fn serves(&self, known: &Known, now: Duration) -> bool {
+        let silence = self.silence(&known.member);
+        known.member.state == State::Ready && known.heard.is_some_and(|at| at + silence > now)
+    }
+
+    fn serving_others(&self, now: Duration) -> impl Iterator<Item = &Known> {
+        self.others.values().filter(move |k| self.serves(k, now))
+    }
+
+    /// Returns the members of the own failure domain that do not leave and have been heard within
+    /// `silence`, itself included, in an order on which all agree.
+    pub fn domain_order(&self, silence: Duration, now: Duration) -> Vec<&Member> {
+        let others = self.others.values().filter(|k| {
+            let heard = k.heard.is_some_and(|at| at + silence > now);
+            heard && k.member.domain == self.own.domain && k.member.state != State::Leaving
+        });
+        let others = others.map(|k| (k.hash, &k.member));
+        let mut members: Vec<_> = others.collect();
+        members.push((self.own_hash, &self.own));
+        members.sort_by_key(|(hash, _)| std::cmp::Reverse(*hash));
+        members.into_iter().map(|(_, m)| m).collect()
     }
 
     /// Returns the members that serve, itself included.
     pub fn serving(&self, now: Duration) -> Vec<&Member> {
-        self.others()
-            .chain(std::iter::once(&self.own))
-            .filter(|m| self.usable(&m.id, now))
-            .collect()
+        let own = (self.own.state == State::Ready).then_some(&self.own);
+        let others = self.serving_others(now).map(|k| &k.member);
+        others.chain(own).collect()
     }
 
     /// Tells whether no other member of the own region answers although some are known.
@@ -220,20 +232,26 @@
     ///
     /// All members that see the same serving members choose the same one.
     pub fn keeper(&self, service: &str, region: &str, now: Duration) -> Option<&Member> {
+        let service = hash(service);
+        let own = (self.own.state == State::Ready).then_some((self.own_hash, &self.own));
+        let others = self.serving_others(now).map(|k| (k.hash, &k.member));
         // A member that does not hear of changes would choose servers that are leaving.
-        self.serving(now)
-            .into_iter()
-            .filter(|m| &*m.region == region)
-            .max_by_key(|m| (m.informed, hash(service, m.id.as_bytes())))
+        others
+            .chain(own)
+            .filter(|(_, m)| &*m.region == region)
+            .max_by_key(|(hash, m)| (m.informed, mix(*hash, service)))
+            .map(|(_, m)| m)
     }
 }
 
-fn hash(first: &str, second: &[u8]) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(first.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(second);
+fn hash(text: &str) -> u64 {
     let mut bytes = [0; 8];
-    bytes.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    bytes.copy_from_slice(&blake3::hash(text.as_bytes()).as_bytes()[..8]);
     u64::from_le_bytes(bytes)
 }
+
+/// Combines two hashes; both decide about every bit of the result.
+fn mix(a: u64, b: u64) -> u64 {
+    let mixed = (a ^ b.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -152,12 +152,12 @@
         inner.members.serving(now).into_iter().cloned().collect()
     }
 
-    /// Returns the peer addresses of the entry VMs of the failure domain in an order on which all
-    /// agree; `None` for this one.
-    pub fn domain_order(&self, purpose: &str) -> Vec<Option<SocketAddr>> {
+    /// Returns the peer addresses of the entry VMs of the failure domain that have been heard
+    /// within `silence`, in an order on which all agree; `None` for this one.
+    pub fn domain_order(&self, silence: Duration) -> Vec<Option<SocketAddr>> {
         let inner = self.lock();
         let own = &inner.members.own;
-        let order = inner.members.domain_order(purpose, self.now());
+        let order = inner.members.domain_order(silence, self.now());
         let address = |m: &Member| (m.id != own.id).then_some(m.peers);
         order.into_iter().map(address).collect()
     }
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -176,10 +176,10 @@
         self.dispatcher.add_member(member);
     }
 
-    /// Returns the peer addresses of the entry VMs of the failure domain in an order on which all
-    /// agree; `None` for this one.
-    pub fn domain_order(&self, purpose: &str) -> Vec<Option<SocketAddr>> {
-        self.dispatcher.domain_order(purpose)
+    /// Returns the peer addresses of the entry VMs of the failure domain that have been heard
+    /// within `silence`, in an order on which all agree; `None` for this one.
+    pub fn domain_order(&self, silence: Duration) -> Vec<Option<SocketAddr>> {
+        self.dispatcher.domain_order(silence)
     }
 
     /// Returns the peer addresses of the other entry VMs that serve.
