Check the files of the users' platform from the command line

check takes the settings file of an entry VM and the operator's configuration and names file, field and reason, as for the product's own files.

--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -20,8 +20,6 @@
 /// Part of the platform's rate that is admitted to a cold server. The platform allows 1.5 times the
 /// rate and a slack, which covers two keepers at the same time.
 const COLD_SHARE: f64 = 0.8;
-/// Part of the allowed shift that is used; the rest covers windows that start at other moments.
-const SHIFT_SHARE: f64 = 1.0;
 /// Share of the platform's retry budget that is used; the rest covers requests that are counted in
 /// different windows and pools that are kept twice.
 const RETRY_SHARE: f64 = 0.7;
@@ -132,7 +130,7 @@
             let cfg = PoolSettings {
                 cold_per_s: (service.cold_per_s * COLD_SHARE).max(1.0),
                 cold_start: service.cold_start,
-                max_shift: settings.max_shift * SHIFT_SHARE,
+                max_shift: settings.max_shift,
                 retry_ratio: settings.retry_ratio * RETRY_SHARE,
                 retry_allowance: settings.retry_slack * RETRY_SHARE / regions,
                 retry_window: settings.retry_window,
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use config::{Fault, Kind};
+use config::{Fault, Kind, Severity};
 
 use super::exit::{self, Code};
 use super::files::{self, File};
@@ -16,10 +16,27 @@
     ("rules", Kind::Rules),
 ];
 
+/// Checks the text of a file of the users' platform.
+type PlatformCheck = fn(&str) -> Result<(), platform_adapter::Error>;
+
+/// Options for files of the users' platform.
+const PLATFORM_FILES: [(&str, PlatformCheck); 2] = [
+    ("gateway-settings", |text| {
+        platform_adapter::settings::parse(text)
+            .map(|_| ())
+            .map_err(|report| report.current_context().clone())
+    }),
+    ("gateway-configuration", |text| {
+        platform_adapter::configuration::decode(text.as_bytes()).map(|_| ())
+    }),
+];
+
 /// Definition of the command.
 pub fn command() -> Command {
     let path = value_parser!(PathBuf);
-    let kinds = KINDS.map(|(name, _)| {
+    let names = KINDS.map(|(name, _)| name).into_iter();
+    let names = names.chain(PLATFORM_FILES.map(|(name, _)| name));
+    let kinds = names.map(|name| {
         Arg::new(name)
             .long(name)
             .value_name("FILE")
@@ -32,6 +49,8 @@
         .after_help(
             "Rules and settings are checked against the inventory given with them; with several\n\
              inventories, against the one in the same folder.\n\n\
+             Files of the users' platform need their option: the settings file of an entry VM and the\n\
+             configuration that the operator writes to the store.\n\n\
              Example: rosemaryglade check examples/notensatz/*.json\n\n\
              Exit codes: 0 no errors, 1 errors found, 2 usage, 5 file unreadable",
         )
@@ -41,7 +60,12 @@
                 .help("File whose kind is recognised by its fields")
                 .action(ArgAction::Append)
                 .num_args(1..)
-                .required_unless_present_any(KINDS.map(|(name, _)| name))
+                .required_unless_present_any(
+                    KINDS
+                        .map(|(name, _)| name)
+                        .into_iter()
+                        .chain(PLATFORM_FILES.map(|(name, _)| name)),
+                )
                 .value_parser(path.clone()),
         )
         .args(kinds)
@@ -68,11 +92,13 @@
             Err(code) => usage = Some(code),
         }
     }
+    let (platform_files, failed) = check_platform_files(args, &mut faults);
+    let failure = failure.or(failed);
     for fault in &faults {
         files::print(format_args!("{fault}\n"));
     }
     let summary = files::summary(&faults);
-    let (checked, given) = (inputs.len(), count(args));
+    let (checked, given) = (inputs.len() + platform_files, count(args));
     let rest = match given - checked {
         0 => String::new(),
         n => format!("; {n} could not be checked"),
@@ -87,10 +113,38 @@
 /// Number of files on the command line.
 fn count(args: &ArgMatches) -> usize {
     let ids = KINDS.iter().map(|(name, _)| *name).chain(["file"]);
+    let ids = ids.chain(PLATFORM_FILES.map(|(name, _)| name));
     ids.map(|id| args.get_many::<PathBuf>(id).map_or(0, Iterator::count))
         .sum()
 }
 
+/// Checks the files of the users' platform; returns how many could be read.
+fn check_platform_files(args: &ArgMatches, faults: &mut Vec<Fault>) -> (usize, Option<Code>) {
+    let (mut checked, mut failure) = (0, None);
+    for (id, check) in PLATFORM_FILES {
+        for path in args.get_many::<PathBuf>(id).unwrap_or_default() {
+            let file = match files::read(path) {
+                Ok(file) => file,
+                Err(code) => {
+                    failure = Some(code);
+                    continue;
+                }
+            };
+            checked += 1;
+            let Err(e) = check(&file.text) else { continue };
+            faults.push(Fault {
+                severity: Severity::Error,
+                file: file.name.into(),
+                line: None,
+                path: e.place().into(),
+                message: e.reason().into(),
+                fix: "".into(),
+            });
+        }
+    }
+    (checked, failure)
+}
+
 /// Reads all files; goes on after a failure, so that the faults of the others are reported.
 fn read_inputs(args: &ArgMatches) -> (Vec<Input>, Option<Code>) {
     let mut inputs = Vec::new();
--- a/tests/check_plan.rs
+++ b/tests/check_plan.rs
@@ -112,6 +112,41 @@
     }
 }
 
+/// Guards against settings and configurations of the users' platform that pass the check and are
+/// refused by the gateway, and against faults without their field.
+#[test]
+fn files_of_the_users_platform_are_checked() {
+    let settings = "self.node-name=entry-1\nself.zone=north\nself.region=donau\n\
+        network.listen-addresses.frontend=10.1.0.15:8641\n\
+        network.listen-addresses.readiness=10.1.0.15:8640\n\
+        network.listen-addresses.directory=10.1.0.15:8644\n\
+        network.internal-port-range=7620,7635\nplatform.platform.address=10.200.1.7:8642\n";
+    let good = write("node.conf", settings);
+    let bad = write("bad-node.conf", settings.replace("7620,7635", "7620"));
+    let configuration = write("op-config.json", "{\"version\":\"7\"}");
+    let (code, text) = run(&["check", "--gateway-settings", &good]);
+    assert_eq!(
+        (code, &*text),
+        (0, "0 errors, 0 warnings in 1 of 1 files\n")
+    );
+    let (code, text) = run(&[
+        "check",
+        "--gateway-settings",
+        &bad,
+        "--gateway-configuration",
+        &configuration,
+    ]);
+    assert_eq!(code, 1);
+    assert!(
+        text.contains("bad-node.conf: network.internal-port-range: error"),
+        "{text}"
+    );
+    assert!(
+        text.contains("op-config.json") && text.contains("2 errors"),
+        "{text}"
+    );
+}
+
 /// Guards against plans that hide a passed cap from scripts.
 #[test]
 fn plans_show_shares_and_passed_caps() {
