Let requests wait half of their target under overload

Ruled out: a lower share that regions keep and no limit for shifts (no difference; the servers of the region are the limit).

--- a/components/dispatch/src/settings.rs
+++ b/components/dispatch/src/settings.rs
@@ -44,8 +44,9 @@
             retry_window: Duration::from_secs(10),
             max_shift: 1.0,
             standing_queue: Duration::from_millis(500),
-            // Requests that are refused within an eighth of their target cost nothing.
-            overload_wait: 0.125,
+            // A queue that a burst has left drains in that time; under lasting overload a caller can
+            // still come back in time.
+            overload_wait: 0.5,
             normal_wait: 0.45,
             warm_wait: 0.8,
             cold_factor: 2.0,
