Hand over where objects are when a pool changes its keeper

Cause: a planned stop of a keeper, and its return, gave the pool to an entry VM that knew nothing of its servers' objects.

Ruled out: sending them regularly for the case of a kill; the common order of servers finds most objects then.

Test: a_handed_over_pool_keeps_objects_where_they_are (no such call before).

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use health::Outcome;
 pub use members::{Member, Members, State};
-pub use pool::{Ask, AskId, Decision, Grant, Pool, RefuseReason, Snapshot};
+pub use pool::{Ask, AskId, Decision, Grant, Placement, Pool, RefuseReason, Snapshot};
 pub use routes::{Choice, ClientLimits, Host, Part, Route, RouteTable, Service};
 pub use server::{Load, Server};
 pub use settings::PoolSettings;
--- a/components/dispatch/src/pool.rs
+++ b/components/dispatch/src/pool.rs
@@ -4,6 +4,7 @@
 //! exactly. When another takes over, the entry VMs register what they have in flight.
 
 mod grant;
+mod handover;
 mod remote;
 mod types;
 
@@ -20,6 +21,7 @@
 use crate::shift::ShiftLimiter;
 use crate::warmth::Warmth;
 use crate::window::Window;
+pub use handover::Placement;
 use remote::Remote;
 pub use types::{Ask, AskId, Decision, Grant, RefuseReason, Snapshot};
 
--- a/components/dispatch/src/warmth.rs
+++ b/components/dispatch/src/warmth.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// Objects of each server that are remembered; above the capacity of any server.
 const REMEMBERED: usize = 128;
 /// First estimate of the objects that a server keeps.
@@ -60,12 +62,36 @@
         Some(now.saturating_sub(*last))
     }
 
+    /// Returns the latest objects, at most `count`.
+    pub fn latest(&self, count: usize) -> Vec<u64> {
+        self.objects.iter().take(count).copied().collect()
+    }
+
+    /// Takes over the objects that another entry VM knows, behind those that are known here.
+    pub fn adopt(&mut self, objects: &[u64], now: Duration) {
+        for &object in objects {
+            if self.depth(object).is_none() && self.objects.len() < REMEMBERED {
+                self.objects.push(object);
+                self.handled.push(now);
+            }
+        }
+    }
+
     pub fn clear(&mut self) {
         self.objects.clear();
         self.handled.clear();
     }
 }
 
+/// What a keeper has learned of service times.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ServiceTimes {
+    capacity: usize,
+    warm: Option<Duration>,
+    cold: Option<Duration>,
+    usual: Option<Duration>,
+}
+
 /// Service times with and without warm data, and the objects that a server keeps.
 #[derive(Clone, Debug)]
 pub(crate) struct Warmth {
@@ -115,6 +141,24 @@
         }
     }
 
+    /// Returns what has been learned.
+    pub fn times(&self) -> ServiceTimes {
+        ServiceTimes {
+            capacity: self.capacity,
+            warm: self.warm,
+            cold: self.cold,
+            usual: self.usual,
+        }
+    }
+
+    /// Takes over what another entry VM has learned.
+    pub fn adopt(&mut self, times: ServiceTimes) {
+        self.capacity = times.capacity.clamp(1, REMEMBERED);
+        self.warm = times.warm.or(self.warm);
+        self.cold = times.cold.or(self.cold);
+        self.usual = times.usual.or(self.usual);
+    }
+
     /// Mean service time, once known.
     pub fn usual(&self) -> Option<Duration> {
         self.usual
--- a/components/dispatch/tests/pool/placement.rs
+++ b/components/dispatch/tests/pool/placement.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use dispatch::{Ask, PoolSettings};
+
+use crate::common::{answer, ask, grant, ms, pool, server};
 use crate::simulation::{Region, Simulation, run, shares};
 
 /// Share of requests that has to find warm data: on the users' grown site the slots of the busiest
@@ -119,3 +122,34 @@
     let warm = found_warm(&cfg, 22..24);
     assert!(warm >= FOUND_WARM, "{warm}");
 }
+
+/// Guards against objects that lose their place when a keeper stops or another one comes back.
+#[test]
+fn a_handed_over_pool_keeps_objects_where_they_are() {
+    let servers: Vec<_> = (0..20).map(|i| server(&format!("s{i}"), 4)).collect();
+    let mut former = pool(&servers, PoolSettings::default());
+    let request = |number, object| Ask {
+        object: Some(object),
+        ..ask(number)
+    };
+    let mut places = Vec::new();
+    for object in 0..30u64 {
+        // The first server of its order is not taken, so that the order alone does not find it.
+        let mut probe = pool(&servers, PoolSettings::default());
+        let first = grant(&mut probe, request(0, object), ms(0)).expect("a slot");
+        let mut moved = request(object, object);
+        moved.avoid = [first.server].into_iter().collect();
+        places.push(grant(&mut former, moved, ms(0)).expect("a slot").server);
+        answer(&mut former, object, ms(30), ms(30));
+    }
+    let mut next = pool(&servers, PoolSettings::default());
+    for placement in former.placements() {
+        next.adopt(placement, ms(100));
+    }
+    for (object, place) in (0u64..).zip(&places) {
+        let number = 1000 + object;
+        let found = grant(&mut next, request(number, object), ms(200)).expect("a slot");
+        assert_eq!(found.server, *place);
+        answer(&mut next, number, ms(10), ms(210));
+    }
+}
--- a/components/gateway/src/dispatcher/inbox.rs
+++ b/components/gateway/src/dispatcher/inbox.rs
@@ -68,6 +68,9 @@
                 self.askers.insert(id.0, from);
                 self.pool(&service).register(id, grant, left, now);
             }
+            Message::Placement { service, placement } => {
+                self.pool(&service).adopt(placement, now);
+            }
             Message::Pools { region, pools, .. } => self.receive_pools(&region, pools, now),
         }
     }
--- a/components/gateway/src/dispatcher/inner.rs
+++ b/components/gateway/src/dispatcher/inner.rs
@@ -1,6 +1,6 @@
 //! State of the dispatcher.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -63,6 +63,8 @@
     next_number: u64,
     pub pending: HashMap<u64, Pending>,
     pub in_use: HashMap<u64, InUse>,
+    /// Services whose pools this entry VM keeps.
+    pub kept: BTreeSet<ServiceId>,
     pub unconfirmed: HashMap<AskId, Unconfirmed>,
     pub round_trips: BTreeMap<RegionId, Duration>,
     /// Addresses of the incarnations that have asked.
@@ -85,6 +87,7 @@
             next_number: 1,
             pending: HashMap::new(),
             in_use: HashMap::new(),
+            kept: BTreeSet::new(),
             unconfirmed: HashMap::new(),
             round_trips: BTreeMap::new(),
             askers: HashMap::new(),
--- a/components/gateway/src/dispatcher/moves.rs
+++ b/components/gateway/src/dispatcher/moves.rs
@@ -15,11 +15,35 @@
         let services: Vec<ServiceId> = self.pools.keys().cloned().collect();
         for service in services {
             let keeper = self.keeper(&service, now);
+            self.hand_over(&service, now);
             self.move_pending(&service, keeper.as_ref(), now);
             self.move_slots(&service, keeper.as_ref(), now);
         }
     }
 
+    /// Tells the keeper that follows this entry VM where it has placed objects. A lost datagram
+    /// costs some requests without warm data.
+    fn hand_over(&mut self, service: &ServiceId, now: Duration) {
+        let own = &self.members.own;
+        let Some(keeper) = self.members.keeper(service, &own.region, now) else {
+            return;
+        };
+        if keeper.id == own.id {
+            self.kept.insert(service.clone());
+            return;
+        }
+        if !self.kept.remove(service) {
+            return;
+        }
+        let (to, id) = (keeper.peers, keeper.id.clone());
+        let placements = self.pool(service).placements();
+        log::info!("event=pool_handed_over service={service} keeper={id}");
+        for placement in placements {
+            let service = service.clone();
+            self.send(to, Message::Placement { service, placement });
+        }
+    }
+
     pub(super) fn move_pending(
         &mut self,
         service: &ServiceId,
--- a/components/gateway/src/message.rs
+++ b/components/gateway/src/message.rs
@@ -1,7 +1,7 @@
 //! Datagrams between entry VMs, encoded with `rmp-serde`.
 
 use config::{EntryVmId, Incarnation, RegionId, ServiceId};
-use dispatch::{Ask, AskId, Decision, Grant, Load, Member, Outcome, Snapshot, State};
+use dispatch::{Ask, AskId, Decision, Grant, Load, Member, Outcome, Placement, Snapshot, State};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -70,6 +70,13 @@
         /// Time until the request ends at the latest.
         left: Duration,
     },
+    /// Where a former keeper has placed objects.
+    Placement {
+        /// Service of the pool.
+        service: ServiceId,
+        /// Some of its servers.
+        placement: Placement,
+    },
     /// State of pools that the sender keeps.
     Pools {
         /// Region of the pools.
