--- a/components/dispatch/src/pool.rs
+++ b/components/dispatch/src/pool.rs
@@ -146,8 +146,8 @@
         }
     }
 
-    /// Checks a grant of another entry VM by what this one knows; returns what is wrong with it. Servers that are not
-    /// known yet may: another entry VM can have heard of them first.
+    /// Checks a grant of another entry VM by what this one knows; returns what is wrong with it.
+    /// Servers that are not known yet are right: another entry VM can have heard of them first.
     pub fn permits(&self, grant: &Grant, now: Duration) -> Result<(), Outcome> {
         let id = &grant.server;
         match self.servers.get(id) {
--- a/components/dispatch/src/pool/grant.rs
+++ b/components/dispatch/src/pool/grant.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use super::{AskId, Data, Decision, Grant, Held, Pool, RefuseReason};
+use config::ServerId;
+
+use super::{Ask, AskId, Data, Decision, Grant, Held, Pool, RefuseReason};
 use crate::pool::GRANT_SLACK;
 use crate::queue::Waiting;
 use crate::server::Tracked;
@@ -12,7 +14,8 @@
 const SLOW_FACTOR: f64 = 2.0;
 /// Multiple of the service time without warm data before which no attempt counts as slow.
 const COLD_SLOW_FACTOR: f64 = 1.3;
-/// Weight of an object's order of servers against their speed.
+/// Weight of an object's order of servers against their speed. High, so that keepers that know nothing
+/// of each other choose the same server unless it is slow or full of objects in use.
 const ORDER_WEIGHT: f64 = 32.0;
 /// Age at which a displaced object counts half.
 const DISPLACED_HALF: Duration = Duration::from_secs(1);
@@ -24,7 +27,19 @@
 /// former keeper may have used it up.
 const TAKEOVER: Duration = Duration::from_millis(1100);
 
+/// A server that has a slot for a request.
+struct Candidate {
+    id: ServerId,
+    /// What the request costs there: its time, and that of requests whose data it displaces.
+    cost: Duration,
+    /// Whether the server holds the object of the request.
+    warm: bool,
+    /// Whether more than half of the slots are free.
+    idle: bool,
+}
+
 impl Pool {
+    /// Grants a slot, if a suitable server has one and it is not better to wait for another.
     pub(super) fn grant(
         &mut self,
         waiting: &Waiting,
@@ -43,41 +58,9 @@
                 },
             ));
         }
-        let no_cold = ask.stopgap || self.isolated || now < self.kept_since + TAKEOVER;
-        let cfg = &self.cfg;
-        let warmth = &self.warmth;
-        let saved = self.saved();
-        let best = self
-            .servers
-            .values_mut()
-            .filter(|s| !ask.avoid.contains(&s.server.id))
-            .filter_map(|s| {
-                let free = s.usable(now, cfg) && !(no_cold && s.cold(now));
-                free.then(|| {
-                    let warm = ask
-                        .object
-                        .is_some_and(|o| warmth.is_warm(s.recent.depth(o)));
-                    let expected = warmth.expected(warm).mul_f64(s.slowness(now, cfg));
-                    let mut time = expected;
-                    if !warm {
-                        time = time.mul_f64(1.0 + ORDER_WEIGHT * s.order(ask.object));
-                        if ask.object.is_some() {
-                            time += displacement(s, warmth, saved, now);
-                        }
-                    }
-                    if s.server.domain != ask.domain {
-                        time += cfg.cross_domain_cost;
-                    }
-                    let idle = s.in_flight * 2 < s.server.slots;
-                    (time, warm, idle, s.server.id.clone())
-                })
-            })
-            .min_by_key(|(time, ..)| *time);
-        let (_, warm, idle, id) = best?;
-        if ask.object.is_some() && !warm && data == Data::Warm {
-            return None;
-        }
-        if ask.object.is_some() && !warm && self.worth_waiting(waiting, idle, now) {
+        let Candidate { id, warm, idle, .. } = self.cheapest(ask, now)?;
+        let stray = ask.object.is_some() && !warm;
+        if stray && (data == Data::Warm || self.worth_waiting(waiting, idle, now)) {
             return None;
         }
         let best = self.servers.get_mut(&id)?;
@@ -112,6 +95,41 @@
         Some((ask.id, Decision::Grant(grant)))
     }
 
+    /// Returns the cheapest server with a free slot.
+    fn cheapest(&mut self, ask: &Ask, now: Duration) -> Option<Candidate> {
+        let no_cold = ask.stopgap || self.isolated || now < self.kept_since + TAKEOVER;
+        let saved = self.saved();
+        let (cfg, warmth) = (&self.cfg, &self.warmth);
+        let candidate = |s: &mut Tracked| {
+            let holds = |o| warmth.is_warm(s.recent.depth(o));
+            let warm = ask.object.is_some_and(holds);
+            let mut cost = warmth.expected(warm).mul_f64(s.slowness(now, cfg));
+            if !warm {
+                cost = cost.mul_f64(1.0 + ORDER_WEIGHT * s.order(ask.object));
+            }
+            if !warm && ask.object.is_some() {
+                cost += displacement(s, warmth, saved, now);
+            }
+            if s.server.domain != ask.domain {
+                cost += cfg.cross_domain_cost;
+            }
+            Candidate {
+                id: s.server.id.clone(),
+                cost,
+                warm,
+                idle: s.in_flight * 2 < s.server.slots,
+            }
+        };
+        self.servers
+            .values_mut()
+            .filter(|s| !ask.avoid.contains(&s.server.id))
+            .filter_map(|s| {
+                let free = s.usable(now, cfg) && !(no_cold && s.cold(now));
+                free.then(|| candidate(s))
+            })
+            .min_by_key(|c| c.cost)
+    }
+
     /// Time that warm data saves.
     fn saved(&self) -> Duration {
         let cold = self.warmth.expected(false);
