--- a/components/gateway/tests/relay/main.rs
+++ b/components/gateway/tests/relay/main.rs
@@ -3,5 +3,6 @@
 mod answers;
 mod callers;
 mod forward;
+mod garbage;
 mod stop;
 mod world;
