--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use async_net::TcpStream;
 use futures_lite::{AsyncWriteExt, FutureExt};
 
 use crate::dialect::HeaderNames;
@@ -73,7 +72,6 @@
             .await
             .map_err(Failure::Unreachable)?
     };
-    let mut unfinished = Unfinished::new(&connection);
     let mut written = false;
     let head = send_and_read_head(&mut connection, out, names, &mut written)
         .await
@@ -84,7 +82,6 @@
     body.read(&mut connection, &mut bytes, HELD_BODY)
         .await
         .map_err(Failure::Lost)?;
-    unfinished.finish();
     if !body.is_complete() {
         let rest = Some((connection, body));
         return Ok(Received {
@@ -107,36 +104,6 @@
     })
 }
 
-/// Resets a connection whose exchange is given up. Otherwise the system would deliver the request
-/// when a broken link works again, long after its caller got another answer.
-struct Unfinished {
-    stream: TcpStream,
-    finished: bool,
-}
-
-impl Unfinished {
-    fn new(connection: &Connection) -> Self {
-        Unfinished {
-            stream: connection.stream(),
-            finished: false,
-        }
-    }
-
-    fn finish(&mut self) {
-        self.finished = true;
-    }
-}
-
-impl Drop for Unfinished {
-    fn drop(&mut self) {
-        if !self.finished
-            && let Err(e) = runtime::reset_on_close(&self.stream)
-        {
-            log::debug!("event=reset_failed error=\"{e}\"");
-        }
-    }
-}
-
 /// Writes the request while reading, since a server may answer before it has read a long body.
 async fn send_and_read_head(
     connection: &mut Connection,
--- a/components/runtime/src/keep_alive.rs
+++ b/components/runtime/src/keep_alive.rs
@@ -1,4 +1,4 @@
-//! Options of TCP connections: detection of a silent other side, and resets.
+//! Detection of TCP connections whose other side has gone silent.
 
 use std::io::Result;
 use std::os::fd::AsFd;
@@ -24,10 +24,3 @@
     sockopt::set_tcp_user_timeout(socket, USER_TIMEOUT_MS)?;
     Ok(())
 }
-
-/// Makes the close of a connection reset it: bytes that the other side has not received are dropped
-/// instead of being delivered later.
-pub fn reset_on_close(socket: &impl AsFd) -> Result<()> {
-    sockopt::set_socket_linger(socket, Some(Duration::ZERO))?;
-    Ok(())
-}
