--- a/components/runtime/src/timer.rs
+++ b/components/runtime/src/timer.rs
@@ -7,6 +7,11 @@
 use crate::clock::Clock;
 use crate::executor::spawn;
 
+/// Delay of a tick from which it is logged.
+const LOGGED_DELAY: Duration = Duration::from_millis(200);
+/// Shortest time between two logged delays.
+const DELAY_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Sends the uptime to each subscriber at the subscriber's period.
 #[derive(Clone, Debug)]
 pub struct TimerService {
@@ -44,6 +49,7 @@
 
 async fn run(clock: Clock, rx: Receiver<Subscription>) {
     let mut subscriptions: Vec<Subscription> = Vec::new();
+    let mut next_log = Instant::now();
     loop {
         let next = subscriptions.iter().map(|s| s.next).min();
         let received = match next {
@@ -53,7 +59,12 @@
         match received {
             Some(Ok(subscription)) => subscriptions.push(subscription),
             Some(Err(_)) => return,
-            None => send_ticks(&mut subscriptions, clock.uptime()),
+            None => {
+                if let Some(due) = next {
+                    record_delay(due, &mut next_log);
+                }
+                send_ticks(&mut subscriptions, clock.uptime());
+            }
         }
     }
 }
@@ -72,6 +83,17 @@
         .await
 }
 
+/// Records how late the executor runs a tick. All tasks of a busy executor wait about as long.
+fn record_delay(due: Instant, next_log: &mut Instant) {
+    let now = Instant::now();
+    let delay = now.saturating_duration_since(due);
+    metrics::histogram!("runtime_tick_delay_seconds").record(delay.as_secs_f64());
+    if delay >= LOGGED_DELAY && now >= *next_log {
+        *next_log = now + DELAY_LOG_INTERVAL;
+        log::warn!("event=executor_delayed delay_ms={}", delay.as_millis());
+    }
+}
+
 fn send_ticks(subscriptions: &mut Vec<Subscription>, uptime: Duration) {
     let now = Instant::now();
     subscriptions.retain_mut(|s| {
