--- a/components/gateway/tests/relay/harness.rs
+++ b/components/gateway/tests/relay/harness.rs
@@ -176,7 +176,7 @@
     /// Starts an entry VM in front of `servers`. Requests to `/read/` are idempotent, those to
     /// `/order/` are binding.
     pub fn start(servers: &[&TestServer]) -> Self {
-        start_executor();
+        start_executor(2);
         let settings = Settings {
             domains: [
                 ("north".into(), "donau".into()),
@@ -300,10 +300,10 @@
     listener.local_addr().expect("listener address")
 }
 
-/// Runs the executor of the process in the background.
-fn start_executor() {
+/// Runs the executor of the process in the background; only the first call has an effect.
+pub fn start_executor(threads: usize) {
     static STARTED: Once = Once::new();
     STARTED.call_once(|| {
-        thread::spawn(|| runtime::block_on(2, std::future::pending::<()>()));
+        thread::spawn(move || runtime::block_on(threads, std::future::pending::<()>()));
     });
 }
