Let loops over a socket yield to other tasks

Cause: a socket with waiting input is read without a return to the executor. The task that receives datagrams ran alone for as long as more of them arrived than the pool owner could handle; its timers, requests and the replication of configurations and servers waited. Requests without an answer are sent again, which keeps the queue full.

Evidence: executor_delayed on the pool owners of the busiest service only, up to 2.5 s, and no such delay without processor time.

Fix: all loops that read or accept yield after 16 steps (YieldBudget): datagrams, listeners of the gateway and of the http crate, and reads of connections. So no task can keep the executor to itself by the rate of its input. Receiving may drop datagrams instead, which senders repeat.

--- a/components/gateway/src/callers.rs
+++ b/components/gateway/src/callers.rs
@@ -18,6 +18,7 @@
 /// Accepts connections until the process ends; those above the limit are closed at once.
 pub async fn serve(node: Arc<Node>, listener: TcpListener, origin: Origin) {
     let open_connections = Arc::new(());
+    let mut budget = runtime::YieldBudget::default();
     loop {
         match listener.accept().await {
             Ok((stream, _)) if Arc::strong_count(&open_connections) <= MAX_CONNECTIONS => {
@@ -35,5 +36,6 @@
                 runtime::sleep(Duration::from_millis(20)).await;
             }
         }
+        budget.step().await;
     }
 }
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -226,6 +226,7 @@
     /// Receives datagrams until the process ends.
     pub async fn receive(self: Arc<Self>) {
         let mut buf = vec![0; MAX_DATAGRAM];
+        let mut budget = runtime::YieldBudget::default();
         loop {
             match self.socket.recv_from(&mut buf).await {
                 Ok((n, from)) => self.handle(&buf[..n], from),
@@ -234,6 +235,7 @@
                     runtime::sleep(Duration::from_millis(20)).await;
                 }
             }
+            budget.step().await;
         }
     }
 
--- a/components/gateway/src/endpoints.rs
+++ b/components/gateway/src/endpoints.rs
@@ -24,6 +24,7 @@
 
 /// Answers requests on `listener` with `handler` until the process ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener, handler: Handler) {
+    let mut budget = runtime::YieldBudget::default();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -41,6 +42,7 @@
                 runtime::sleep(Duration::from_millis(20)).await;
             }
         }
+        budget.step().await;
     }
 }
 
--- a/components/gateway/src/http/connection.rs
+++ b/components/gateway/src/http/connection.rs
@@ -8,6 +8,7 @@
 
 use async_net::TcpStream;
 use futures_lite::{AsyncRead, AsyncWriteExt};
+use runtime::YieldBudget;
 
 use super::error::{Error, Result};
 use super::head::{RequestHead, ResponseHead};
@@ -25,6 +26,8 @@
     /// Whether the unconsumed bytes are an incomplete element; set by `need_more` until the next
     /// read.
     needs_more: bool,
+    /// Lets other tasks run while the peer sends without pause.
+    budget: YieldBudget,
 }
 
 impl Connection {
@@ -41,6 +44,7 @@
             buf: Vec::new(),
             consumed: 0,
             needs_more: false,
+            budget: YieldBudget::default(),
         }
     }
 
@@ -98,6 +102,7 @@
             self.buf.drain(..self.consumed);
             self.consumed = 0;
         }
+        self.budget.step().await;
         let Connection { stream, buf, .. } = self;
         // Reads into a buffer on the stack: dropping the future loses no bytes, and idle
         // connections hold no buffer.
--- a/components/http/src/server.rs
+++ b/components/http/src/server.rs
@@ -56,7 +56,9 @@
 {
     let open_connections = Arc::new(AtomicUsize::new(0));
     let (done_tx, done_rx) = async_channel::bounded::<()>(1);
+    let mut budget = runtime::YieldBudget::default();
     loop {
+        budget.step().await;
         let accepted = async { Some(listener.accept().await) }
             .or(async {
                 let _ = stop.recv().await;
--- a/components/runtime/src/executor.rs
+++ b/components/runtime/src/executor.rs
@@ -38,3 +38,24 @@
         })
         .await
 }
+
+/// Yields to other tasks after a number of steps, in loops whose operations may never suspend: a
+/// socket with waiting input is read without a return to the executor.
+#[derive(Debug, Default)]
+pub struct YieldBudget {
+    steps: u32,
+}
+
+impl YieldBudget {
+    /// Steps between two yields.
+    const STEPS: u32 = 16;
+
+    /// Counts a step, and yields if the budget is used up.
+    pub async fn step(&mut self) {
+        self.steps += 1;
+        if self.steps >= Self::STEPS {
+            self.steps = 0;
+            futures_lite::future::yield_now().await;
+        }
+    }
+}
