Replicate the platform's tables on a thread of their own

What callers see on an overloaded entry VM: answers of an old configuration, and requests that are granted slots of servers that have announced their stop.

Cause: each step of a replication, and there are tens of them for a large configuration, waits for its turn behind all requests of the process.

Fix: replication, registration and reloads run on a control executor with its own thread, so their share of the processor does not depend on the number of requests.

--- a/components/runtime/src/executor.rs
+++ b/components/runtime/src/executor.rs
@@ -1,6 +1,7 @@
 //! Process-wide task executor.
 
 use std::future::Future;
+use std::sync::OnceLock;
 use std::thread;
 use std::time::Duration;
 
@@ -8,6 +9,8 @@
 use futures_lite::FutureExt;
 
 static EXECUTOR: Executor<'static> = Executor::new();
+/// Executor with a thread of its own, so that its tasks do not wait behind requests.
+static CONTROL: Executor<'static> = Executor::new();
 
 /// Runs `fut` to completion on the current thread; `threads` threads in total, at least this one,
 /// run spawned tasks.
@@ -29,6 +32,25 @@
     EXECUTOR.spawn(fut)
 }
 
+/// Spawns a task that keeps this process up to date, such as replication of configurations, on a
+/// thread that handles no requests. Dropping the handle cancels the task.
+pub fn spawn_control<T: Send + 'static>(fut: impl Future<Output = T> + Send + 'static) -> Task<T> {
+    static STARTED: OnceLock<bool> = OnceLock::new();
+    let started = *STARTED.get_or_init(|| {
+        let run = || async_io::block_on(CONTROL.run(futures_lite::future::pending::<()>()));
+        let spawned = thread::Builder::new().name("control".to_owned()).spawn(run);
+        if let Err(e) = &spawned {
+            log::warn!("event=thread_failed thread=control error=\"{e}\"");
+        }
+        spawned.is_ok()
+    });
+    if started {
+        CONTROL.spawn(fut)
+    } else {
+        EXECUTOR.spawn(fut)
+    }
+}
+
 /// Runs `fut` for at most `limit`; returns `None` on timeout.
 pub async fn timeout<T>(limit: Duration, fut: impl Future<Output = T>) -> Option<T> {
     async { Some(fut.await) }
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -10,6 +10,6 @@
 
 pub use async_executor::Task;
 pub use clock::Clock;
-pub use executor::{YieldBudget, block_on, spawn, timeout};
+pub use executor::{YieldBudget, block_on, spawn, spawn_control, timeout};
 pub use keep_alive::enable_keep_alive;
 pub use timer::{TimerService, sleep};
