Let the larger entry VMs own pools and represent their region

Cause: the owner of a pool was chosen by a hash of its name alone. It decides for all requests of its region and relays what other regions forward, which is more than an entry VM with 0.1 cores and 10 Mbit/s can do; most entry VMs of these deployments are of that size.

Evidence: 7,617 unanswered admission requests with processor time, 17 without; the two owners relayed 2,000 forwarded requests in 32 s.

Fix: entry VMs tell each other processor and link from their settings. Owners, delegates and followed entry VMs are chosen by hash among those with at least half of the largest value of each resource. While an entry VM of the region has not told its capacity, as those of an older version, the hash alone decides, so that all versions agree.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -16,7 +16,7 @@
 mod window;
 
 pub use health::Outcome;
-pub use members::{Member, MemberList, MemberState};
+pub use members::{Capacity, Member, MemberList, MemberState};
 pub use pool::{
     AdmissionRequest, Decision, Grant, Placement, Pool, PoolSnapshot, RefuseReason, RequestId,
 };
--- a/components/dispatch/src/members.rs
+++ b/components/dispatch/src/members.rs
@@ -50,12 +50,40 @@
     pub platform_connected: bool,
 }
 
+/// Resources of an entry VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Capacity {
+    /// Processor in thousandths of a core.
+    pub millicores: u32,
+    /// Bandwidth of the link in Mbit/s.
+    pub link_mbps: u32,
+}
+
+impl Capacity {
+    /// Returns the larger value of each resource.
+    fn max(self, other: Capacity) -> Capacity {
+        Capacity {
+            millicores: self.millicores.max(other.millicores),
+            link_mbps: self.link_mbps.max(other.link_mbps),
+        }
+    }
+
+    /// Returns of how many resources this is at least half of `largest`. Members of similar size
+    /// share the pools, however many smaller ones there are.
+    fn rank(self, largest: Capacity) -> u32 {
+        let processor = self.millicores.saturating_mul(2) >= largest.millicores;
+        let link = self.link_mbps.saturating_mul(2) >= largest.link_mbps;
+        u32::from(processor) + u32::from(link)
+    }
+}
+
 /// The known entry VMs.
 #[derive(Clone, Debug)]
 pub struct MemberList {
     /// This entry VM.
     pub own: Member,
     own_hash: u64,
+    own_capacity: Option<Capacity>,
     others: BTreeMap<EntryVmId, Peer>,
 }
 
@@ -69,11 +97,29 @@
     last_seen: Duration,
     /// Hash of the name, for rendezvous hashing.
     hash: u64,
+    /// `None` until it is received.
+    capacity: Option<Capacity>,
+}
+
+/// A candidate for a task of its region: hash, member and capacity.
+type Candidate<'a> = (u64, &'a Member, Option<Capacity>);
+
+/// Returns the largest value of each resource; `None` if a capacity is unknown, as it is for entry
+/// VMs of an older version. The choice is then by hash alone, on which all versions agree.
+fn largest_capacity<'a>(mut candidates: impl Iterator<Item = Candidate<'a>>) -> Option<Capacity> {
+    let first = candidates.next()?.2;
+    candidates.fold(first, |max, (_, _, capacity)| Some(max?.max(capacity?)))
+}
+
+/// Returns the rank of a capacity; 0 if capacities are not compared.
+fn rank(capacity: Option<Capacity>, largest: Option<Capacity>) -> u32 {
+    capacity.zip(largest).map_or(0, |(c, l)| c.rank(l))
 }
 
 impl Peer {
     fn new(member: Member, last_heartbeat: Option<Duration>, last_seen: Duration) -> Self {
         Peer {
+            capacity: None,
             hash: hash(&member.id),
             member,
             last_heartbeat,
@@ -87,6 +133,7 @@
     pub fn new(own: Member) -> Self {
         MemberList {
             own_hash: hash(&own.id),
+            own_capacity: None,
             own,
             others: BTreeMap::new(),
         }
@@ -116,11 +163,41 @@
         let changed = self.others.get(&member.id).is_none_or(|old| {
             old.member != member || old.last_heartbeat.is_none_or(|at| at + timeout <= now)
         });
-        let peer = Peer::new(member, Some(now), now);
+        let capacity = self
+            .others
+            .get(&member.id)
+            .filter(|p| p.member.incarnation == member.incarnation)
+            .and_then(|p| p.capacity);
+        let peer = Peer {
+            capacity,
+            ..Peer::new(member, Some(now), now)
+        };
         self.others.insert(peer.member.id.clone(), peer);
         changed
     }
 
+    /// Sets the capacity of this entry VM.
+    pub fn set_own_capacity(&mut self, capacity: Option<Capacity>) {
+        self.own_capacity = capacity;
+    }
+
+    /// Records the capacity of another member; returns whether it was unknown or has changed.
+    pub fn record_capacity(&mut self, incarnation: Incarnation, capacity: Capacity) -> bool {
+        let mut peers = self.others.values_mut();
+        let Some(peer) = peers.find(|p| p.member.incarnation == incarnation) else {
+            return false;
+        };
+        peer.capacity.replace(capacity) != Some(capacity)
+    }
+
+    /// Returns the capacity of a member, this one included.
+    pub fn capacity(&self, id: &str) -> Option<Capacity> {
+        if id == &*self.own.id {
+            return self.own_capacity;
+        }
+        self.others.get(id).and_then(|p| p.capacity)
+    }
+
     /// Time without a heartbeat after which a member is not used.
     fn liveness_timeout(&self, member: &Member) -> Duration {
         if member.region == self.own.region {
@@ -175,15 +252,36 @@
         all.fold(0, |sum, m| sum ^ combine_hashes(hash(&m.id), m.incarnation))
     }
 
-    /// Whether this member is among the first `count` members of its region by hash; all members
-    /// agree on that order.
+    /// Whether this member is among the first `count` members of its region, the larger ones first
+    /// and then by hash; all members agree on that order.
     pub fn is_delegate(&self, count: usize, now: Duration) -> bool {
-        let own = self.own_hash;
-        let ranked_higher = self.available_peers(now).filter(|p| p.hash > own);
-        let ranked_higher = ranked_higher.filter(|p| p.member.region == self.own.region);
+        let region = &self.own.region;
+        let largest = largest_capacity(self.candidates(region, now));
+        let own = (rank(self.own_capacity, largest), self.own_hash);
+        let ranked_higher = self
+            .candidates(region, now)
+            .filter(|(hash, _, capacity)| (rank(*capacity, largest), *hash) > own);
         self.own.state == MemberState::Ready && ranked_higher.count() < count
     }
 
+    /// Returns the available members of a region, itself included.
+    fn candidates<'a>(
+        &'a self,
+        region: &str,
+        now: Duration,
+    ) -> impl Iterator<Item = Candidate<'a>> {
+        let own = (self.own.state == MemberState::Ready).then_some((
+            self.own_hash,
+            &self.own,
+            self.own_capacity,
+        ));
+        let others = self.available_peers(now);
+        others
+            .map(|p| (p.hash, &p.member, p.capacity))
+            .chain(own)
+            .filter(move |(_, m, _)| &*m.region == region)
+    }
+
     /// Whether a member is ready and has sent a recent heartbeat.
     pub fn is_available(&self, id: &str, now: Duration) -> bool {
         if id == &*self.own.id {
@@ -207,7 +305,8 @@
     }
 
     /// Returns the members of this failure domain, itself included, that are not leaving and have
-    /// been heard from within `max_silence`, ordered by hash so that all members agree.
+    /// been heard from within `max_silence`, the larger ones first and then by hash, so that all
+    /// members agree.
     pub fn ranked_domain_members(&self, max_silence: Duration, now: Duration) -> Vec<&Member> {
         let others = self.others.values().filter(|p| {
             let heard_recently = p.last_heartbeat.is_some_and(|at| at + max_silence > now);
@@ -215,11 +314,14 @@
                 && p.member.domain == self.own.domain
                 && p.member.state != MemberState::Leaving
         });
-        let others = others.map(|p| (p.hash, &p.member));
-        let mut members: Vec<_> = others.collect();
-        members.push((self.own_hash, &self.own));
-        members.sort_by_key(|(hash, _)| std::cmp::Reverse(*hash));
-        members.into_iter().map(|(_, m)| m).collect()
+        let others = others.map(|p| (p.hash, &p.member, p.capacity));
+        let mut members: Vec<Candidate> = others.collect();
+        members.push((self.own_hash, &self.own, self.own_capacity));
+        let largest = largest_capacity(members.iter().copied());
+        members.sort_by_key(|(hash, _, capacity)| {
+            std::cmp::Reverse((rank(*capacity, largest), *hash))
+        });
+        members.into_iter().map(|(_, m, _)| m).collect()
     }
 
     /// Returns the available members, itself included.
@@ -238,21 +340,22 @@
         local.peek().is_some() && !local.any(|m| self.is_available(&m.id, now))
     }
 
-    /// Returns the member of `region` that owns the pool of `service`, chosen by rendezvous
-    /// hashing.
+    /// Returns the member of `region` that owns the pool of `service`, chosen by rendezvous hashing
+    /// among the larger members: the owner decides for all requests of its region and receives those
+    /// that other regions forward.
     ///
     /// Members that see the same available members choose the same owner.
     pub fn pool_owner(&self, service: &str, region: &str, now: Duration) -> Option<&Member> {
         let service = hash(service);
-        let own = (self.own.state == MemberState::Ready).then_some((self.own_hash, &self.own));
-        let others = self.available_peers(now).map(|p| (p.hash, &p.member));
+        let largest = largest_capacity(self.candidates(region, now));
         // Prefer members that receive platform updates; others would grant slots of servers that
         // are leaving.
-        others
-            .chain(own)
-            .filter(|(_, m)| &*m.region == region)
-            .max_by_key(|(hash, m)| (m.platform_connected, combine_hashes(*hash, service)))
-            .map(|(_, m)| m)
+        self.candidates(region, now)
+            .max_by_key(|(hash, m, capacity)| {
+                let rank = rank(*capacity, largest);
+                (m.platform_connected, rank, combine_hashes(*hash, service))
+            })
+            .map(|(_, m, _)| m)
     }
 }
 
--- a/components/dispatch/tests/members.rs
+++ b/components/dispatch/tests/members.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dispatch::{Member, MemberList, MemberState};
+use dispatch::{Capacity, Member, MemberList, MemberState};
 
 fn member(id: &str, state: MemberState) -> Member {
     Member {
@@ -156,3 +156,80 @@
     }
     assert!(rankings.iter().all(|r| *r == rankings[0] && r.len() == 4));
 }
+
+const SMALL: Capacity = Capacity {
+    millicores: 100,
+    link_mbps: 10,
+};
+const LARGE: Capacity = Capacity {
+    millicores: 500,
+    link_mbps: 200,
+};
+
+/// Member list of `m0` with 20 members, of which the last three are large.
+fn members_of_two_sizes() -> MemberList {
+    let mut members = MemberList::new(member("m0", MemberState::Ready));
+    members.set_own_capacity(Some(SMALL));
+    for i in 1..20 {
+        let other = Member {
+            incarnation: i,
+            ..member(&format!("m{i}"), MemberState::Ready)
+        };
+        members.record_heartbeat(other, at(0));
+        let capacity = if i < 17 { SMALL } else { LARGE };
+        assert!(members.record_capacity(i, capacity));
+    }
+    members
+}
+
+fn owners(members: &MemberList, now: Duration) -> Vec<String> {
+    (0..50)
+        .map(|i| {
+            let owner = members.pool_owner(&format!("service {i}"), "donau", now);
+            owner.expect("an available member").id.to_string()
+        })
+        .collect()
+}
+
+/// Guards against pools of a region that are owned by entry VMs too small for them, which then apply
+/// configurations late (issue 20).
+#[test]
+fn pools_are_owned_by_large_members() {
+    let mut members = members_of_two_sizes();
+    let large = ["m17", "m18", "m19"];
+    let owned = owners(&members, at(10));
+    for id in large {
+        assert!(owned.iter().any(|o| o == id), "{id} owns no pool");
+    }
+    assert!(owned.iter().all(|o| large.contains(&&**o)), "{owned:?}");
+    // The others take over when no large member is available, and heartbeats keep capacities.
+    for i in 1..17 {
+        let other = Member {
+            incarnation: i,
+            ..member(&format!("m{i}"), MemberState::Ready)
+        };
+        members.record_heartbeat(other, at(2000));
+    }
+    let owned = owners(&members, at(2100));
+    assert!(owned.iter().all(|o| !large.contains(&&**o)), "{owned:?}");
+}
+
+/// Guards against two owners of a pool while entry VMs of versions with and without capacities are
+/// mixed.
+#[test]
+fn unknown_capacity_leaves_the_choice_to_the_hash() {
+    let mut members = members_of_two_sizes();
+    let old_version = Member {
+        incarnation: 99,
+        ..member("old", MemberState::Ready)
+    };
+    members.record_heartbeat(old_version.clone(), at(0));
+    let mut without_capacities = MemberList::new(member("m0", MemberState::Ready));
+    for other in members.others() {
+        without_capacities.record_heartbeat(other.clone(), at(0));
+    }
+    assert_eq!(
+        owners(&members, at(10)),
+        owners(&without_capacities, at(10))
+    );
+}
--- a/components/gateway/src/dispatcher/heartbeats.rs
+++ b/components/gateway/src/dispatcher/heartbeats.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use config::{Incarnation, ServiceId};
-use dispatch::{Member, MemberState};
+use dispatch::{Capacity, Member, MemberState};
 
 use super::inner::Inner;
 use super::timing::{
@@ -179,18 +179,41 @@
     /// Sends a full heartbeat.
     pub fn send_heartbeat(&mut self, to: SocketAddr) {
         let own = self.members.own.clone();
+        let capacities = self.capacities(std::slice::from_ref(&own));
         self.send(to, Message::Heartbeat(own));
+        self.send(to, Message::Capacities(capacities));
+    }
+
+    /// Returns the known capacities of members.
+    fn capacities(&self, members: &[Member]) -> Vec<(Incarnation, Capacity)> {
+        let members = members.iter();
+        members
+            .filter_map(|m| Some((m.incarnation, self.members.capacity(&m.id)?)))
+            .collect()
+    }
+
+    /// Records the capacities of other members, which may change the owners of pools.
+    pub fn receive_capacities(&mut self, capacities: Vec<(Incarnation, Capacity)>, now: Duration) {
+        let mut changed = false;
+        for (incarnation, capacity) in capacities {
+            changed |= self.members.record_capacity(incarnation, capacity);
+        }
+        if changed {
+            self.follow_pool_owners(now);
+        }
     }
 
     /// Sends the members that this entry VM has heard from.
     pub fn send_members(&mut self, to: SocketAddr) {
         let members: Vec<Member> = self.members.seen().cloned().collect();
         for chunk in members.chunks(MEMBERS_PER_DATAGRAM) {
+            let capacities = self.capacities(chunk);
             self.send(to, Message::Members(chunk.to_vec()));
+            self.send(to, Message::Capacities(capacities));
         }
     }
 
-    /// Handles a short heartbeat; asks for a full one if the sender is unknown.
+    /// Handles a short heartbeat; asks for a full one if the sender or its capacity is unknown.
     pub fn receive_alive(
         &mut self,
         incarnation: Incarnation,
@@ -202,12 +225,16 @@
         let Some(known) = self.members.by_incarnation(incarnation) else {
             return self.send(from, Message::RequestHeartbeat);
         };
+        let capacity_known = self.members.capacity(&known.id).is_some();
         let member = Member {
             state,
             platform_connected,
             ..known.clone()
         };
         self.receive_heartbeat(member, from, now);
+        if !capacity_known && self.members.capacity(&self.members.own.id).is_some() {
+            self.send(from, Message::RequestHeartbeat);
+        }
     }
 
     /// Handles a full heartbeat. If the sender is new or has changed its state, this entry VM
--- a/components/gateway/src/dispatcher/inbox.rs
+++ b/components/gateway/src/dispatcher/inbox.rs
@@ -70,6 +70,7 @@
             Message::Placement { service, placement } => {
                 self.pool(&service).import_placement(placement, now);
             }
+            Message::Capacities(capacities) => self.receive_capacities(capacities, now),
             Message::PoolSnapshots { region, pools, .. } => self.receive_pools(&region, pools, now),
         }
     }
--- a/components/gateway/src/dispatcher/inner.rs
+++ b/components/gateway/src/dispatcher/inner.rs
@@ -81,8 +81,10 @@
 
 impl Inner {
     pub fn new(settings: &Settings, own: Member) -> Self {
+        let mut members = MemberList::new(own);
+        members.set_own_capacity(settings.capacity);
         Inner {
-            members: MemberList::new(own),
+            members,
             domains: settings.domains.clone(),
             seeds: settings.seeds.clone(),
             pools: BTreeMap::new(),
--- a/components/gateway/src/message.rs
+++ b/components/gateway/src/message.rs
@@ -2,8 +2,8 @@
 
 use config::{EntryVmId, Incarnation, RegionId, ServiceId};
 use dispatch::{
-    AdmissionRequest, Decision, Grant, LoadReport, Member, MemberState, Outcome, Placement,
-    PoolSnapshot, RequestId,
+    AdmissionRequest, Capacity, Decision, Grant, LoadReport, Member, MemberState, Outcome,
+    Placement, PoolSnapshot, RequestId,
 };
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -95,6 +95,9 @@
         /// Snapshots by service.
         pools: Vec<(ServiceId, PoolSnapshot)>,
     },
+    /// Capacities of members, sent after their member list entries. Versions without it ignore the
+    /// message.
+    Capacities(Vec<(Incarnation, Capacity)>),
 }
 
 /// Encodes a message. Logs a failure and returns `None`.
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use config::{DomainId, EntryVmId, RegionId};
+use dispatch::Capacity;
 
 /// Settings of an entry VM.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,6 +30,8 @@
     /// Peer addresses of some entry VMs, to find the others when the platform is unreachable at the
     /// start.
     pub seeds: Vec<SocketAddr>,
+    /// Processor and link of this entry VM; `None` if they are not known.
+    pub capacity: Option<Capacity>,
     /// Time between SIGTERM and SIGKILL.
     pub grace_period: Duration,
     /// Time for which callers may cache the answer to a look-up.
@@ -58,6 +61,7 @@
             peers: unset,
             metrics: unset,
             seeds: Vec::new(),
+            capacity: None,
             grace_period: Duration::from_secs(6),
             look_up_lifetime: Duration::from_secs(2),
             max_shift: 0.15,
@@ -70,7 +74,7 @@
 
 impl Settings {
     /// Returns the settings that apply after a reload of `new`. The id, the failure domain, the
-    /// region and the listen addresses only change at the next start.
+    /// region, the listen addresses and the capacity only change at the next start.
     #[must_use]
     pub fn updated(&self, new: &Settings) -> Settings {
         Settings {
@@ -82,6 +86,7 @@
             look_ups: self.look_ups,
             peers: self.peers,
             metrics: self.metrics,
+            capacity: self.capacity,
             ..new.clone()
         }
     }
