Take only responses with the id of the request for its answer

What callers saw: an order that a server ran was refused as not run, or ran at a second server.

Cause: a response without a request id was accepted unless its status was 2xx. A faulty server that writes an earlier refusal once more, without its id, on a kept connection thus answered the next request.

Fix: a response without the id of the request is skipped like one with another id, and its connection is not reused if anything follows. If no other response comes, the outcome of a binding request is unknown (502). The refusal of an entry VM without memory for a body gets the id, since other entry VMs forward requests to it.

Also tested, and right before: a repeated refusal with its id, and an answer cut at each byte of its head (502 each time).

--- a/components/gateway/src/callers/session.rs
+++ b/components/gateway/src/callers/session.rs
@@ -260,7 +260,13 @@
         let close = !req.head.keeps_alive();
         let node = self.node.clone();
         if req.body_memory.is_none() {
-            self.push_answer(AnswerSource::ready(Code::NoMemory), close);
+            let mut answer = Answer::own(Code::NoMemory, None);
+            let name = node.dialect.headers.request_id;
+            if let Some(id) = req.head.get(name) {
+                answer.add(name, id);
+            }
+            let source = AnswerSource::Ready(Some(Box::new(answer)));
+            self.push_answer(source, close);
             return;
         }
         if !is_binding(&node, &req.head) {
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -123,8 +123,8 @@
     write.or(read_matching_head(connection, out, names)).await
 }
 
-/// Reads response heads until one matches the request. Responses to other requests are skipped; a
-/// response without a request id is accepted unless its status is 2xx.
+/// Reads response heads until one carries the id of the request. All others are skipped: a response
+/// without an id may be that to an earlier request, and says nothing about this one.
 async fn read_matching_head(
     connection: &mut Connection,
     out: &OutgoingRequest<'_>,
@@ -135,22 +135,19 @@
         if (100..200).contains(&head.status) {
             continue;
         }
-        let success = (200..300).contains(&head.status);
-        match head.get(names.request_id) {
-            Some(id) if id == out.id => {
-                if success && out.require_signature && head.get(names.signature).is_none() {
-                    return Err(Error::Malformed("2xx response without a server signature"));
-                }
-                return Ok(head);
+        if head.get(names.request_id) == Some(out.id) {
+            let success = (200..300).contains(&head.status);
+            if success && out.require_signature && head.get(names.signature).is_none() {
+                return Err(Error::Malformed("2xx response without a server signature"));
             }
-            None if !success => return Ok(head),
-            _ => {}
+            return Ok(head);
         }
         metrics::counter!("gateway_foreign_answers_total").increment(1);
         log::info!(
-            "event=foreign_answer id={} answer_id={} server={}",
+            "event=foreign_answer id={} answer_id={} status={} server={}",
             out.id,
             head.get(names.request_id).unwrap_or("none"),
+            head.status,
             out.address
         );
         let mut body = Body::new(head.framing(out.method)?);
--- a/components/gateway/tests/relay/main.rs
+++ b/components/gateway/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod faulty_servers;
 mod forward;
 mod harness;
 mod malformed_input;
