Cut responses without end at the deadline, and endless trailers at once

What callers saw: nothing yet; operators report servers that send without end, in a head or a body. Here such a body, without a length or in chunks, was relayed for 20 s and held a slot of the server, and a trailer section was read until the deadline.

Cause: once the first 256 KB were passed on, only the time limit for writing to the caller applied, not the deadline of the request. A trailer section had a limit for each field, but none for all of them.

Evidence: endless_response_ends_by_the_deadline failed with "body without length: ended after 20.0 s", endless_trailer_section_is_rejected_at_once with a wait for the deadline.

Fix: the rest of a body carries the deadline of its request. When it passes, the connection is closed without a last chunk, so the caller does not take the response for complete, and the slot is free. A trailer section has at most 16 KB. Heads, interim responses and bodies of other responses had limits before; they are tested too.

--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -14,6 +14,8 @@
     pub connection: Connection,
     /// State of the body on that connection.
     pub body: Body,
+    /// Uptime at which the deadline of the request passes. The body is cut then: it may have no end.
+    pub deadline_at: Duration,
     /// Slot of the server, in use until the body is complete; `None` if another entry VM relayed
     /// the answer.
     pub _slot: Option<Slot>,
--- a/components/gateway/src/callers/session.rs
+++ b/components/gateway/src/callers/session.rs
@@ -293,6 +293,11 @@
     async fn write(&mut self, mut answer: Answer, close: bool) -> Result<()> {
         let bytes = answer.encode(close);
         let rest = answer.rest.take();
+        let limit = rest.as_ref().map_or(WRITE_TIMEOUT, |r| {
+            r.deadline_at
+                .saturating_sub(self.node.now())
+                .min(WRITE_TIMEOUT)
+        });
         let writing = async {
             self.connection.write(&bytes).await?;
             match rest {
@@ -300,13 +305,14 @@
                 None => Ok(()),
             }
         };
-        runtime::timeout(WRITE_TIMEOUT, writing)
+        runtime::timeout(limit, writing)
             .await
             .unwrap_or(Err(Error::Timeout))
     }
 
-    /// Streams the rest of a long body. If the server's body is cut short, the connection is closed
-    /// without the last chunk, so that the caller does not take the response for complete.
+    /// Streams the rest of a long body. If the server's body is cut short, or has not ended by the
+    /// deadline of the request, the connection is closed without the last chunk, so that the caller
+    /// does not take the response for complete.
     async fn stream_rest(&mut self, mut rest: Rest) -> Result<()> {
         loop {
             let mut bytes = Vec::new();
--- a/components/gateway/src/http/body.rs
+++ b/components/gateway/src/http/body.rs
@@ -5,6 +5,8 @@
 
 /// Maximum length in bytes of a chunk size line or a trailer field.
 const MAX_CHUNK_LINE: usize = 4096;
+/// Maximum length in bytes of all trailer fields of a body.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
 
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,8 +35,8 @@
     Chunk(u64),
     /// Before the CRLF after chunk data.
     ChunkEnd,
-    /// In the trailer section.
-    Trailer,
+    /// In the trailer section, after this number of bytes.
+    Trailer(usize),
     UntilClose,
     Complete,
 }
@@ -121,7 +123,7 @@
             }
             State::ChunkEnd => self.step_chunk_end(conn),
             State::ChunkSize => self.step_chunk_size(conn),
-            State::Trailer => self.step_trailer(conn),
+            State::Trailer(read) => self.step_trailer(conn, read),
         }
     }
 
@@ -142,7 +144,7 @@
             Ok(httparse::Status::Complete((n, size))) => {
                 conn.consume(n);
                 self.state = if size == 0 {
-                    State::Trailer
+                    State::Trailer(0)
                 } else {
                     State::Chunk(size)
                 };
@@ -153,14 +155,20 @@
         }
     }
 
-    fn step_trailer(&mut self, conn: &mut Connection) -> Result<bool> {
+    fn step_trailer(&mut self, conn: &mut Connection, read: usize) -> Result<bool> {
         let Some(end) = conn.buffered().windows(2).position(|w| w == b"\r\n") else {
             return conn.need_more(MAX_CHUNK_LINE);
         };
-        conn.consume(end + 2);
-        if end == 0 {
-            self.state = State::Complete;
+        let read = read + end + 2;
+        if read > MAX_TRAILER_BYTES {
+            return Err(Error::Malformed("trailer section is too long"));
         }
+        conn.consume(end + 2);
+        self.state = if end == 0 {
+            State::Complete
+        } else {
+            State::Trailer(read)
+        };
         Ok(true)
     }
 }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -71,6 +71,14 @@
     object: Option<u64>,
 }
 
+impl Plan {
+    /// Returns whether the request may be sent again after the current attempt, even if a server may
+    /// have run it.
+    fn may_retry(&self, history: &AttemptHistory) -> bool {
+        !self.route.binding && history.sent_attempts + 1 < self.route.max_attempts
+    }
+}
+
 /// Attempts made so far for one request.
 #[derive(Debug, Default)]
 struct AttemptHistory {
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -73,7 +73,7 @@
         return Step::done(super::deadline_exceeded(std::mem::take(history)));
     }
     history.excluded_servers.push(slot.grant.server.clone());
-    let may_retry = !plan.route.binding && history.sent_attempts + 1 < plan.route.max_attempts;
+    let may_retry = plan.may_retry(history);
     let hedge_delay = hedge_delay(slot.grant.slow_after, may_retry, remaining);
     let first = attempt(node, req, plan, slot, hedge_delay);
     let finished = if hedge_delay < remaining {
@@ -204,7 +204,7 @@
     } = finished;
     let names = &node.dialect.headers;
     let server = slot.grant.server.clone();
-    let may_retry = !plan.route.binding && history.sent_attempts + 1 < plan.route.max_attempts;
+    let may_retry = plan.may_retry(history);
     match result {
         Some(Ok(received)) => {
             let load = received.head.get(names.load);
@@ -216,7 +216,7 @@
                 history.sent_attempts += 1;
                 return handle_not_run(plan, history);
             }
-            handle_response(req, history, slot, received, may_retry, elapsed, trace)
+            handle_response(req, plan, history, slot, received, elapsed, trace)
         }
         Some(Err(Failure::Unreachable(e))) => {
             trace.record_failure(&server, "unreachable", &e.to_string(), elapsed);
@@ -284,13 +284,14 @@
 /// allowed and the body is complete.
 fn handle_response(
     req: &Request,
+    plan: &Plan,
     history: &mut AttemptHistory,
     mut slot: Slot,
     received: ReceivedResponse,
-    may_retry: bool,
     elapsed: Duration,
     trace: &mut Trace,
 ) -> Step {
+    let may_retry = plan.may_retry(history);
     let status = received.head.status;
     let failed = status >= 500;
     trace.record_attempt(
@@ -309,6 +310,7 @@
     let rest = received.rest.map(|(connection, body)| Rest {
         connection,
         body,
+        deadline_at: plan.deadline_at,
         _slot: Some(slot),
     });
     let complete = rest.is_none();
--- a/components/gateway/src/relay/forward.rs
+++ b/components/gateway/src/relay/forward.rs
@@ -69,6 +69,7 @@
             let rest = received.rest.map(|(connection, body)| Rest {
                 connection,
                 body,
+                deadline_at: plan.deadline_at,
                 _slot: None,
             });
             Step::done(Answer::passed_on(
--- a/components/gateway/tests/relay/faulty_servers.rs
+++ b/components/gateway/tests/relay/faulty_servers.rs
@@ -16,14 +16,13 @@
 /// repeats a refusal of an earlier request on a kept connection before it runs the next request.
 #[test]
 fn repeated_refusal_with_another_id_is_not_taken_for_the_answer() {
-    let server = TestServer::start(|n, id| match n {
-        0 => shed_response("a0"),
-        _ => {
-            let mut actions = shed_response("a0");
+    let server = TestServer::start(|n, id| {
+        let mut actions = shed_response("a0");
+        if n > 0 {
             actions.push(ServerAction::Wait(Duration::from_millis(20)));
             actions.extend(ok_response(id, "done"));
-            actions
         }
+        actions
     });
     let entry_vm = TestEntryVm::start(&[&server]);
     assert_eq!(entry_vm.send("POST", "/order/1", "a0").0, 503);
--- a/components/gateway/tests/relay/harness.rs
+++ b/components/gateway/tests/relay/harness.rs
@@ -36,6 +36,8 @@
 /// Step of a scripted server's handling of a request.
 pub enum ServerAction {
     Send(Vec<u8>),
+    /// Sends the bytes again and again until the gateway closes the connection.
+    SendForever(Vec<u8>),
     /// Waits, and stops handling if the gateway closes the connection meanwhile.
     Wait(Duration),
     /// Closes the connection.
@@ -99,6 +101,11 @@
                         return;
                     }
                 }
+                ServerAction::SendForever(bytes) => {
+                    while stream.write_all(&bytes).is_ok() {}
+                    cancelled.fetch_add(1, Ordering::SeqCst);
+                    return;
+                }
                 ServerAction::Wait(time) => {
                     stream.set_read_timeout(Some(time)).expect("set timeout");
                     let mut byte = [0];
--- a/components/gateway/tests/relay/main.rs
+++ b/components/gateway/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod endless_responses;
 mod faulty_servers;
 mod forward;
 mod harness;
