End exchanges of the http crate by their timeout while the peer sends without end

An entry VM of the product's own interface that reads such a response would serve nobody else on that thread.

Cause: the same as that of the datagram loop: a socket with waiting input is read without a return to the executor. Interim responses were read in a loop without a limit, and the deadline of a body was only checked while no input waited, so no timer of the thread ran either.

Evidence: endless_response_fails_by_the_timeout did not end; it was killed after twelve minutes of one full core. It passes now in 2 s.

Servers of the crate read bodies of callers through the same stream.

Also tested, and right before: a response cut in its head is an error, and a refusal repeated on a connection does not reach the next request, since each request has a connection of its own.

--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -14,6 +14,9 @@
 use crate::head::check_response;
 use crate::stream::{MessageStream, read_head, with_timeout};
 
+/// Maximum number of heads read for one request, including those of interim (1xx) responses.
+const MAX_RESPONSE_HEADS: u32 = 8;
+
 /// Limits of one exchange.
 #[derive(Clone, Debug)]
 pub struct ClientOptions {
@@ -82,7 +85,7 @@
             .await
             .change_context(Error::Io)?;
         let mut buf = Vec::new();
-        loop {
+        for _ in 0..MAX_RESPONSE_HEADS {
             let raw = read_head(&mut tcp, &mut buf, options.timeout, options.timeout).await?;
             let head = check_response(&raw, head_request)?;
             match head.status {
@@ -95,6 +98,9 @@
                 _ => return Ok((head, buf)),
             }
         }
+        Err(Report::new(Error::InvalidHead(
+            "too many interim responses",
+        )))
     };
     let (head, rest) = with_timeout(options.timeout, Box::pin(exchange)).await?;
     let stream = MessageStream::new(tcp, &head, &rest, options.max_body, options.timeout)?;
--- a/components/http/src/stream.rs
+++ b/components/http/src/stream.rs
@@ -10,6 +10,7 @@
 use async_net::TcpStream;
 use error_stack::{Report, bail};
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, FutureExt};
+use runtime::YieldBudget;
 
 use crate::error::{Error, Result};
 use crate::head::{Framing, MAX_HEAD_BYTES, MessageHead, find_head_end};
@@ -96,6 +97,8 @@
     body_remaining: u64,
     /// Deadline for the whole body.
     read_deadline: Timer,
+    /// Lets other tasks run while the peer sends without pause.
+    budget: YieldBudget,
     /// Deadline of a pending write; cleared when a write makes progress.
     write_deadline: Option<Timer>,
 }
@@ -125,6 +128,7 @@
             framing: head.framing,
             body_remaining,
             read_deadline: Timer::after(limit),
+            budget: YieldBudget::default(),
             write_deadline: None,
         };
         Ok(MessageStream {
@@ -193,11 +197,12 @@
     }
 
     fn poll_tcp(&mut self, cx: &mut Context<'_>, out: &mut [u8]) -> Poll<io::Result<usize>> {
-        let read = Pin::new(&mut self.tcp).poll_read(cx, out);
-        if read.is_pending() && self.read_deadline.poll(cx).is_ready() {
+        // Checked before each read, because a peer that sends without end never makes it pending.
+        if self.read_deadline.poll(cx).is_ready() {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
-        read
+        ready!(self.budget.poll_step(cx));
+        Pin::new(&mut self.tcp).poll_read(cx, out)
     }
 }
 
--- a/components/runtime/src/executor.rs
+++ b/components/runtime/src/executor.rs
@@ -1,7 +1,8 @@
 //! Process-wide task executor.
 
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::sync::OnceLock;
+use std::task::{Context, Poll};
 use std::thread;
 use std::time::Duration;
 
@@ -74,10 +75,17 @@
 
     /// Counts a step, and yields if the budget is used up.
     pub async fn step(&mut self) {
-        self.steps += 1;
-        if self.steps >= Self::STEPS {
-            self.steps = 0;
-            futures_lite::future::yield_now().await;
+        poll_fn(|cx| self.poll_step(cx)).await;
+    }
+
+    /// Counts a step; pending once if the budget is used up.
+    pub fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.steps < Self::STEPS {
+            self.steps += 1;
+            return Poll::Ready(());
         }
+        self.steps = 0;
+        cx.waker().wake_by_ref();
+        Poll::Pending
     }
 }
