Count a lost first attempt when the hedge decides the outcome

What callers saw: 503 with "not run" for an idempotent request that a server had run.

Cause: if the first attempt and its hedge both fail, the one that ends last decides the response. That the other one may have run was dropped with it.

Evidence: hedge_that_is_shed_does_not_hide_a_lost_first_attempt got 503 with x-outcome not-run before, 502 with unknown now.

Fix: an attempt that is discarded records whether its server may have run the request, from which the refusal is derived as for attempts in succession.

--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -16,6 +16,7 @@
 use crate::codes::Code;
 use crate::dispatcher::{Admission, Slot, SlotRequest};
 use crate::exchange::{Failure, OutgoingRequest, ReceivedResponse, exchange};
+use crate::http::ResponseHead;
 use crate::node::Node;
 
 /// Time limit for opening a connection within a region. It does not cover the retransmission of a
@@ -56,6 +57,15 @@
     fn is_usable(&self) -> bool {
         matches!(&self.result, Some(Ok(r)) if r.head.status < 500)
     }
+
+    /// Returns whether the server may have run the request.
+    fn may_have_run(&self, node: &Node) -> bool {
+        match &self.result {
+            Some(Ok(received)) => !is_not_run(node, &received.head),
+            Some(Err(Failure::Unreachable(_))) => false,
+            Some(Err(Failure::Lost(_))) | None => true,
+        }
+    }
 }
 
 /// Sends the request to the server of `slot`, and a hedge to another server if the first is slow
@@ -140,6 +150,7 @@
         "hedge_failed",
         finished.elapsed,
     );
+    history.may_have_run |= finished.may_have_run(node);
     drop(finished);
     if first_finished {
         hedge.await
@@ -188,6 +199,11 @@
     }
 }
 
+/// Returns whether a response states that the server did not run the request.
+fn is_not_run(node: &Node, head: &ResponseHead) -> bool {
+    head.get(node.dialect.headers.not_run).is_some() || head.status == 421
+}
+
 /// Reports the outcome of an attempt to its slot and decides how to continue.
 fn handle_result(
     node: &Node,
@@ -209,8 +225,7 @@
         Some(Ok(received)) => {
             let load = received.head.get(names.load);
             slot.set_load(load.and_then(node.dialect.parse_load));
-            let not_run = received.head.get(names.not_run).is_some() || received.head.status == 421;
-            if not_run {
+            if is_not_run(node, &received.head) {
                 trace.record_attempt(&server, "not_run", elapsed);
                 slot.set_outcome(Outcome::Refused);
                 history.sent_attempts += 1;
--- /dev/null
+++ b/components/gateway/tests/relay/hedges.rs
@@ -0,0 +1,43 @@
+//! Requests that are sent to a second server while the first is slow.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use crate::harness::{ServerAction, TestEntryVm, TestServer, ok_response, shed_response};
+
+/// Requests that let the entry VM learn the usual latency.
+const WARM_UP_REQUESTS: usize = 30;
+
+/// Guards against a refusal as not run of a request whose first attempt was lost, because the
+/// outcome of the hedge alone decided.
+#[test]
+fn hedge_that_is_shed_does_not_hide_a_lost_first_attempt() {
+    let attempts = Arc::new(AtomicUsize::new(0));
+    let start = || {
+        let attempts = attempts.clone();
+        TestServer::start(move |_, id| {
+            if id != "hedged" {
+                return ok_response(id, "done");
+            }
+            if attempts.fetch_add(1, Ordering::SeqCst) == 0 {
+                return vec![
+                    ServerAction::Wait(Duration::from_millis(400)),
+                    ServerAction::Close,
+                ];
+            }
+            let mut actions = shed_response(id);
+            actions.insert(0, ServerAction::Wait(Duration::from_millis(800)));
+            actions
+        })
+    };
+    let (a, b) = (start(), start());
+    let entry_vm = TestEntryVm::start(&[&a, &b]);
+    for i in 0..WARM_UP_REQUESTS {
+        assert_eq!(entry_vm.send("GET", "/read/1", &format!("a{i}")).0, 200);
+    }
+    let (status, head, _) = entry_vm.send("GET", "/read/1", "hedged");
+    assert_eq!(attempts.load(Ordering::SeqCst), 2, "no hedge was sent");
+    assert_eq!(status, 502, "{head}");
+    assert!(head.contains("x-outcome: unknown"), "{head}");
+}
--- a/components/gateway/tests/relay/main.rs
+++ b/components/gateway/tests/relay/main.rs
@@ -6,5 +6,6 @@
 mod faulty_servers;
 mod forward;
 mod harness;
+mod hedges;
 mod malformed_input;
 mod stop;
