Check a grant again when the request is sent, also after a pause

Cause: the state of a server was checked when a slot was granted, not when the request was sent. Between the two lie the connection, and any pause of the process. The deadline that a server gets was computed before the connection, too.

Fix: after the connection is open, the grant is checked again. If the process did not run for 0.7 s (CLOCK_BOOTTIME, so suspension counts), requests wait until the platform has answered a poll that began after the pause, for 1 s at most. A withdrawn grant leads to another admission request. A request whose time ends before anything was sent is refused as not run, not as unknown.

--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -19,10 +19,11 @@
 use runtime::Clock;
 use smallvec::SmallVec;
 
+use crate::freshness::Freshness;
 use crate::message::{self, MAX_DATAGRAM};
 use crate::settings::Settings;
 use inner::Inner;
-pub use slot::Slot;
+pub use slot::{GrantCheck, Slot};
 
 /// A request for a slot, as submitted by the relay.
 #[derive(Clone, Debug)]
@@ -69,6 +70,7 @@
     inner: Mutex<Inner>,
     socket: Async<UdpSocket>,
     clock: Clock,
+    freshness: Freshness,
 }
 
 impl Dispatcher {
@@ -79,6 +81,7 @@
             inner: Mutex::new(Inner::new(settings, own)),
             socket,
             clock,
+            freshness: Freshness::default(),
         }))
     }
 
@@ -218,6 +221,12 @@
             .map(|(r, peer)| (r.clone(), peer))
     }
 
+    /// Records an answer of the platform about servers to a poll that started at this time since
+    /// boot.
+    pub fn confirm_servers(&self, polled_at: Duration) {
+        self.freshness.confirm(polled_at);
+    }
+
     /// Ends a request. Does nothing if `number` has ended already.
     fn end(&self, number: u64, outcome: Outcome, load: Option<dispatch::LoadReport>) {
         self.with_state(|inner, now| inner.end_request(number, outcome, load, now));
@@ -254,6 +263,7 @@
     pub async fn tick(self: Arc<Self>, timers: runtime::TimerService) {
         let ticks = timers.subscribe(timing::TICK_INTERVAL);
         while ticks.recv().await.is_ok() {
+            self.freshness.observe();
             self.with_state(Inner::tick);
         }
     }
--- a/components/gateway/src/dispatcher/inner.rs
+++ b/components/gateway/src/dispatcher/inner.rs
@@ -415,6 +415,14 @@
         true
     }
 
+    /// Returns whether the server of an active slot is known to accept requests as granted.
+    pub fn is_grant_valid(&self, number: u64, now: Duration) -> bool {
+        self.active_slots.get(&number).is_some_and(|slot| {
+            let pool = self.pools.get(&slot.service);
+            pool.is_none_or(|p| p.check_grant(&slot.grant, now).is_ok())
+        })
+    }
+
     /// Returns a slot that is no longer needed, because the request has ended or was granted
     /// another slot.
     fn return_unneeded_grant(
--- a/components/gateway/src/dispatcher/slot.rs
+++ b/components/gateway/src/dispatcher/slot.rs
@@ -36,6 +36,24 @@
     }
 }
 
+/// Checks a granted slot immediately before the request is sent. Since the grant, the server may
+/// have announced its stop, or this process may have been paused.
+#[derive(Clone, Debug)]
+pub struct GrantCheck {
+    dispatcher: Arc<Dispatcher>,
+    number: u64,
+}
+
+impl GrantCheck {
+    /// Returns whether the request may be sent, as far as a view is known that is not older than
+    /// the last pause of this process.
+    pub async fn allows_sending(&self) -> bool {
+        self.dispatcher.freshness.wait().await;
+        self.dispatcher
+            .with_state(|inner, now| inner.is_grant_valid(self.number, now))
+    }
+}
+
 /// A slot of a server, for one request. Dropping it reports the outcome and frees the slot.
 #[derive(Debug)]
 pub struct Slot {
@@ -57,6 +75,14 @@
         }
     }
 
+    /// Returns a check of the grant, for use while the slot is borrowed.
+    pub fn check(&self) -> GrantCheck {
+        GrantCheck {
+            dispatcher: self.dispatcher.clone(),
+            number: self.number,
+        }
+    }
+
     /// Sets the outcome to report when the slot is dropped; [`Outcome::Unused`] if never set.
     pub fn set_outcome(&mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -28,10 +28,6 @@
     pub id: &'a str,
     /// Encoded head and body.
     pub bytes: Vec<u8>,
-    /// Time limit for opening a connection.
-    pub connect_timeout: Duration,
-    /// Maximum idle time of a connection that is reused.
-    pub max_idle: Duration,
     /// Whether a 2xx response must carry a server's signature.
     pub require_signature: bool,
 }
@@ -51,26 +47,38 @@
 pub enum Failure {
     /// The connection could not be opened; nothing was sent.
     Unreachable(Error),
+    /// The server must not get the request any more, or its deadline has passed; nothing was sent.
+    Withdrawn,
     /// The connection failed or the response was invalid; the request may have been received.
     Lost(Error),
 }
 
-/// Sends a request and receives the response with the same request id.
+/// Takes an idle connection that has been idle for less than `max_idle`, or opens one within
+/// `limit`.
+pub async fn connect(
+    address: SocketAddr,
+    limit: Duration,
+    max_idle: Duration,
+    idle: &IdleConnections,
+    now: Duration,
+) -> Result<Connection, Failure> {
+    if let Some(connection) = idle.take(address, max_idle, now).await {
+        return Ok(connection);
+    }
+    metrics::counter!("gateway_server_connections_total").increment(1);
+    Connection::open(address, limit)
+        .await
+        .map_err(Failure::Unreachable)
+}
+
+/// Sends a request on a connection and receives the response with the same request id.
 pub async fn exchange(
+    mut connection: Connection,
     out: &OutgoingRequest<'_>,
     names: &HeaderNames,
     idle: &IdleConnections,
     now: impl Fn() -> Duration,
 ) -> Result<ReceivedResponse, Failure> {
-    let reused = idle.take(out.address, out.max_idle, now()).await;
-    let mut connection = if let Some(connection) = reused {
-        connection
-    } else {
-        metrics::counter!("gateway_server_connections_total").increment(1);
-        Connection::open(out.address, out.connect_timeout)
-            .await
-            .map_err(Failure::Unreachable)?
-    };
     let mut request_written = false;
     let head = send_and_read_head(&mut connection, out, names, &mut request_written)
         .await
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod endpoints;
 mod error;
 mod exchange;
+mod freshness;
 mod http;
 mod idle;
 mod message;
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -147,6 +147,12 @@
         self.dispatcher.put_server(server);
     }
 
+    /// Records that the platform has answered a poll for changes of servers that started at
+    /// `polled_at`, a time since boot. Requests wait for this after a pause of the process.
+    pub fn confirm_servers(&self, polled_at: Duration) {
+        self.dispatcher.confirm_servers(polled_at);
+    }
+
     pub fn remove_server(&self, id: &str) {
         self.dispatcher.remove_server(id);
     }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -30,6 +30,11 @@
 /// Time before the end of the grace period, when the process is killed, by which open requests must
 /// have ended.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(1100);
+/// Maximum idle time of a connection that is reused for a binding request. If the server closes the
+/// connection at that moment, the outcome of the request is unknown.
+const BINDING_MAX_IDLE: Duration = Duration::from_secs(1);
+/// Shortest deadline with which a request is sent; the header field counts milliseconds.
+const MIN_SENT_DEADLINE: Duration = Duration::from_millis(1);
 /// Failed connection attempts after which a request is refused.
 const MAX_CONNECT_FAILURES: u32 = 4;
 
@@ -72,6 +77,20 @@
 }
 
 impl Plan {
+    /// Returns the time until the deadline.
+    fn remaining(&self, node: &Node) -> Duration {
+        self.deadline_at.saturating_sub(node.now())
+    }
+
+    /// Returns the maximum idle time of a connection that the request may be sent on.
+    fn max_idle(&self) -> Duration {
+        if self.route.binding {
+            BINDING_MAX_IDLE
+        } else {
+            Duration::MAX
+        }
+    }
+
     /// Returns whether the request may be sent again after the current attempt, even if a server may
     /// have run it.
     fn may_retry(&self, history: &AttemptHistory) -> bool {
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -1,30 +1,31 @@
 //! Attempts at servers: sending, hedging and the outcome.
 
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use config::ServerId;
 use dispatch::Outcome;
 use futures_lite::FutureExt;
 use smallvec::SmallVec;
 
 use super::encode::encode;
 use super::trace::Trace;
-use super::{AttemptHistory, DEFAULT_RETRY_AFTER, MAX_CONNECT_FAILURES, Plan, Request};
+use super::{
+    AttemptHistory, DEFAULT_RETRY_AFTER, MAX_CONNECT_FAILURES, MIN_SENT_DEADLINE, Plan, Request,
+};
 use crate::answer::{Answer, Rest};
 use crate::codes::Code;
-use crate::dispatcher::{Admission, Slot, SlotRequest};
-use crate::exchange::{Failure, OutgoingRequest, ReceivedResponse, exchange};
+use crate::dispatcher::{Admission, GrantCheck, Slot, SlotRequest};
+use crate::exchange::{Failure, OutgoingRequest, ReceivedResponse, connect, exchange};
 use crate::http::ResponseHead;
 use crate::node::Node;
 
 /// Time limit for opening a connection within a region. It does not cover the retransmission of a
 /// lost first packet; another server is tried instead.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Maximum idle time of a connection that is reused for a binding request. If the server closes the
-/// connection at that moment, the outcome of the request is unknown.
-pub(super) const BINDING_MAX_IDLE: Duration = Duration::from_secs(1);
 /// Minimum hedge delay, so that network delay alone does not make an attempt slow.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(50);
 /// Admission requests for a hedge within one hedge delay; they repeat until one gets a slot.
@@ -62,7 +63,7 @@
     fn may_have_run(&self, node: &Node) -> bool {
         match &self.result {
             Some(Ok(received)) => !is_not_run(node, &received.head),
-            Some(Err(Failure::Unreachable(_))) => false,
+            Some(Err(Failure::Unreachable(_) | Failure::Withdrawn)) => false,
             Some(Err(Failure::Lost(_))) | None => true,
         }
     }
@@ -78,8 +79,8 @@
     slot: Slot,
     trace: &mut Trace,
 ) -> Step {
-    let remaining = plan.deadline_at.saturating_sub(node.now());
-    if remaining < Duration::from_millis(1) {
+    let remaining = plan.remaining(node);
+    if remaining < MIN_SENT_DEADLINE {
         return Step::done(super::deadline_exceeded(std::mem::take(history)));
     }
     history.excluded_servers.push(slot.grant.server.clone());
@@ -169,28 +170,20 @@
 ) -> FinishedAttempt {
     let start = node.now();
     let remaining = plan.deadline_at.saturating_sub(start);
-    let outgoing = OutgoingRequest {
-        address: slot.grant.address,
-        method: &req.head.method,
-        id: &plan.id,
-        bytes: encode(node, req, plan, Some(&slot.grant.server), remaining),
-        connect_timeout: CONNECT_TIMEOUT.min(remaining),
-        max_idle: if plan.route.binding {
-            BINDING_MAX_IDLE
-        } else {
-            Duration::MAX
-        },
-        require_signature: true,
-    };
     // If the caller disconnects, this future is dropped and the slot reports this outcome.
     slot.set_outcome(Outcome::Cancelled);
-    let names = &node.dialect.headers;
-    let mut exchange = pin!(exchange(&outgoing, names, &node.idle, || node.now()));
+    let (address, server) = (slot.grant.address, slot.grant.server.clone());
+    let sent = AtomicBool::new(false);
+    let grant = slot.check();
+    let mut exchange = pin!(send(node, req, plan, address, server, grant, &sent));
     let mut result = runtime::timeout(slow_after.min(remaining), &mut exchange).await;
     if result.is_none() && slow_after < remaining {
         slot.set_outcome(Outcome::Slow);
         result = runtime::timeout(remaining.saturating_sub(slow_after), exchange).await;
     }
+    if result.is_none() && !sent.load(Ordering::Relaxed) {
+        result = Some(Err(Failure::Withdrawn));
+    }
     let elapsed = node.now().saturating_sub(start);
     FinishedAttempt {
         slot,
@@ -199,6 +192,36 @@
     }
 }
 
+/// Connects to a server and sends the request if its grant is still valid then. `sent` is set
+/// before the first byte is written.
+async fn send(
+    node: &Arc<Node>,
+    req: &Request,
+    plan: &Plan,
+    address: SocketAddr,
+    server: ServerId,
+    grant: GrantCheck,
+    sent: &AtomicBool,
+) -> Result<ReceivedResponse, Failure> {
+    let limit = CONNECT_TIMEOUT.min(plan.remaining(node));
+    let connection = connect(address, limit, plan.max_idle(), &node.idle, node.now()).await?;
+    let allowed = grant.allows_sending().await;
+    let remaining = plan.remaining(node);
+    if !allowed || remaining < MIN_SENT_DEADLINE {
+        return Err(Failure::Withdrawn);
+    }
+    let outgoing = OutgoingRequest {
+        address,
+        method: &req.head.method,
+        id: &plan.id,
+        bytes: encode(node, req, plan, Some(&server), remaining),
+        require_signature: true,
+    };
+    let names = &node.dialect.headers;
+    sent.store(true, Ordering::Relaxed);
+    exchange(connection, &outgoing, names, &node.idle, || node.now()).await
+}
+
 /// Returns whether a response states that the server did not run the request.
 fn is_not_run(node: &Node, head: &ResponseHead) -> bool {
     head.get(node.dialect.headers.not_run).is_some() || head.status == 421
@@ -245,6 +268,13 @@
             }
             Step::done(Answer::own(Code::Refused, Some(DEFAULT_RETRY_AFTER)))
         }
+        Some(Err(Failure::Withdrawn)) => {
+            trace.record_attempt(&server, "withdrawn", elapsed);
+            slot.set_outcome(Outcome::Unused);
+            // The next grant is checked as well; a server that is back may be used again.
+            history.excluded_servers.pop();
+            Step::Retry
+        }
         Some(Err(Failure::Lost(e))) => {
             trace.record_failure(&server, "lost", &e.to_string(), elapsed);
             slot.set_outcome(Outcome::Failed);
--- a/components/gateway/src/relay/forward.rs
+++ b/components/gateway/src/relay/forward.rs
@@ -2,15 +2,16 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use super::attempt::{BINDING_MAX_IDLE, Step, handle_lost_response};
+use super::attempt::{Step, handle_lost_response};
 use super::encode::encode;
 use super::trace::Trace;
-use super::{AttemptHistory, Plan, Request};
+use super::{AttemptHistory, MIN_SENT_DEADLINE, Plan, Request};
 use crate::answer::{Answer, Rest};
 use crate::codes::{Code, NOT_RUN, OUTCOME_HEADER};
-use crate::exchange::{Failure, OutgoingRequest, exchange};
+use crate::exchange::{Failure, OutgoingRequest, ReceivedResponse, connect, exchange};
 use crate::node::Node;
 
 /// Time limit for opening a connection to another region: a round trip between regions in addition
@@ -30,25 +31,11 @@
     let start = node.now();
     let remaining = plan.deadline_at.saturating_sub(start);
     history.forwarded = true;
-    let outgoing = OutgoingRequest {
-        address: peer,
-        method: &req.head.method,
-        id: &plan.id,
-        bytes: encode(node, req, plan, None, remaining),
-        connect_timeout: FORWARD_CONNECT_TIMEOUT.min(remaining),
-        max_idle: if plan.route.binding {
-            BINDING_MAX_IDLE
-        } else {
-            Duration::MAX
-        },
-        require_signature: false,
-    };
-    let names = &node.dialect.headers;
-    let result = runtime::timeout(
-        remaining,
-        exchange(&outgoing, names, &node.idle, || node.now()),
-    )
-    .await;
+    let sent = AtomicBool::new(false);
+    let mut result = runtime::timeout(remaining, send(node, req, plan, peer, &sent)).await;
+    if result.is_none() && !sent.load(Ordering::Relaxed) {
+        result = Some(Err(Failure::Withdrawn));
+    }
     let elapsed = node.now().saturating_sub(start);
     match result {
         Some(Ok(received)) => {
@@ -83,6 +70,10 @@
             trace.record_failure(region, "forward_unreachable", &e.to_string(), elapsed);
             Step::Retry
         }
+        Some(Err(Failure::Withdrawn)) => {
+            trace.record_attempt(region, "forward_withdrawn", elapsed);
+            Step::Retry
+        }
         Some(Err(Failure::Lost(e))) => {
             trace.record_failure(region, "forward_lost", &e.to_string(), elapsed);
             // The other region may have used all attempts that the route allows.
@@ -94,3 +85,29 @@
         }
     }
 }
+
+/// Connects to an entry VM and sends the request. `sent` is set before the first byte is written.
+async fn send(
+    node: &Arc<Node>,
+    req: &Request,
+    plan: &Plan,
+    peer: SocketAddr,
+    sent: &AtomicBool,
+) -> Result<ReceivedResponse, Failure> {
+    let limit = FORWARD_CONNECT_TIMEOUT.min(plan.remaining(node));
+    let connection = connect(peer, limit, plan.max_idle(), &node.idle, node.now()).await?;
+    let remaining = plan.remaining(node);
+    if remaining < MIN_SENT_DEADLINE {
+        return Err(Failure::Withdrawn);
+    }
+    let outgoing = OutgoingRequest {
+        address: peer,
+        method: &req.head.method,
+        id: &plan.id,
+        bytes: encode(node, req, plan, None, remaining),
+        require_signature: false,
+    };
+    let names = &node.dialect.headers;
+    sent.store(true, Ordering::Relaxed);
+    exchange(connection, &outgoing, names, &node.idle, || node.now()).await
+}
--- a/components/gateway/tests/relay/harness.rs
+++ b/components/gateway/tests/relay/harness.rs
@@ -10,6 +10,9 @@
 use dispatch::{Route, RouteTable, Server, Service, WeightedService};
 use gateway::{Dialect, HeaderNames, LookUpQuery, Node, Settings};
 
+/// Threads of the executor in tests with an entry VM.
+pub const EXECUTOR_THREADS: usize = 2;
+
 /// Header names and formats of the test platform.
 pub const DIALECT: Dialect = Dialect {
     headers: HeaderNames {
@@ -59,6 +62,14 @@
         script: impl Fn(usize, &str) -> Vec<ServerAction> + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind listener");
+        Self::serve(listener, script)
+    }
+
+    /// Serves the connections of a listener, as [`TestServer::start`] does.
+    pub fn serve(
+        listener: TcpListener,
+        script: impl Fn(usize, &str) -> Vec<ServerAction> + Send + Sync + 'static,
+    ) -> Self {
         let server = TestServer {
             address: listener.local_addr().expect("listener address"),
             requests: Arc::default(),
@@ -183,7 +194,7 @@
     /// Starts an entry VM in front of `servers`. Requests to `/read/` are idempotent, those to
     /// `/order/` are binding.
     pub fn start(servers: &[&TestServer]) -> Self {
-        start_executor(2);
+        start_executor(EXECUTOR_THREADS);
         let settings = Settings {
             domains: [
                 ("north".into(), "donau".into()),
@@ -255,7 +266,7 @@
     Some((status, head, String::from_utf8_lossy(&body).into_owned()))
 }
 
-fn server_entry(i: usize, address: SocketAddr) -> Server {
+pub fn server_entry(i: usize, address: SocketAddr) -> Server {
     Server {
         id: format!("s{i}").into(),
         service: "work".into(),
--- a/components/runtime/src/clock.rs
+++ b/components/runtime/src/clock.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use rustix::time::{ClockId, clock_gettime};
+
 /// Monotonic clock that measures the uptime of the process.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -20,6 +22,13 @@
         self.start.elapsed()
     }
 
+    /// Returns the time since the machine was booted, including the time for which it was suspended.
+    pub fn boot_time() -> Duration {
+        clock_gettime(ClockId::Boottime)
+            .try_into()
+            .unwrap_or_default()
+    }
+
     /// Returns the wall clock time in milliseconds since the Unix epoch.
     pub fn wall_ms() -> u64 {
         SystemTime::now()
