Refuse requests that were forwarded under a newer configuration

This way to it was found by searching for decisions that are made twice on different views.

Cause: an entry VM that forwards a request to another region has matched the route by its configuration; the receiver matches it again by its own, which may be older by up to 0.5 s or more. The caller, at one entry VM, then gets the new configuration first and the old one later.

Fix: forwarded requests carry the generation that was applied (x-generation). A receiver with an older one answers that it did not run the request, and the sender tries its own region. Senders of an older version give no generation and are served as before.

--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use config::{RegionId, ServerId};
+use config::{Generation, RegionId, ServerId};
 use dispatch::{RefuseReason, Route, RouteMatch, RouteTable};
 use smallvec::SmallVec;
 
@@ -24,6 +24,9 @@
 pub const TARGET_HEADER: &str = "x-target-ms";
 /// Header field, between entry VMs, with the time the caller has waited so far in milliseconds.
 pub const WAITED_HEADER: &str = "x-waited-ms";
+/// Header field, between entry VMs, with the generation of the configuration that the sender applied
+/// to the request.
+pub const GENERATION_HEADER: &str = "x-generation";
 /// `Retry-After` of refusals for which the dispatcher gives no time, such as those of an entry VM
 /// without configuration.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -143,6 +146,9 @@
     let Some(routes) = node.routes() else {
         return refuse(Code::NoConfiguration, Some(DEFAULT_RETRY_AFTER));
     };
+    if req.origin == Origin::EntryVm && is_behind_sender(routes.generation, head) {
+        return refuse(Code::NoConfiguration, Some(DEFAULT_RETRY_AFTER));
+    }
     let Some(id) = head.get(names.request_id) else {
         return refuse(Code::BadRequest, None);
     };
@@ -184,6 +190,13 @@
     })
 }
 
+/// Returns whether the entry VM that forwarded the request applied a newer configuration than
+/// `in_force`. By the older one, the request could go to a server from which its route has moved.
+fn is_behind_sender(in_force: Generation, head: &RequestHead) -> bool {
+    let applied = head.get(GENERATION_HEADER).and_then(|v| v.parse().ok());
+    applied.is_some_and(|applied: Generation| applied > in_force)
+}
+
 /// Returns whether a request must run at most once. A request that matches no route is not binding.
 pub fn is_binding(node: &Node, head: &RequestHead) -> bool {
     node.routes().is_some_and(|routes| {
--- a/components/gateway/src/relay/encode.rs
+++ b/components/gateway/src/relay/encode.rs
@@ -3,7 +3,7 @@
 use std::io::Write as _;
 use std::time::Duration;
 
-use super::{Plan, Request, TARGET_HEADER, WAITED_HEADER};
+use super::{GENERATION_HEADER, Plan, Request, TARGET_HEADER, WAITED_HEADER};
 use crate::http::is_hop_by_hop;
 use crate::node::Node;
 
@@ -24,6 +24,7 @@
         "expect",
         TARGET_HEADER,
         WAITED_HEADER,
+        GENERATION_HEADER,
     ];
     let mut out = Vec::with_capacity(512 + req.body.len());
     // Writing to a vector cannot fail.
@@ -46,7 +47,8 @@
         let waited = now.saturating_sub(plan.waiting_since).as_millis();
         let _ = write!(
             out,
-            "{TARGET_HEADER}: {target}\r\n{WAITED_HEADER}: {waited}\r\n"
+            "{TARGET_HEADER}: {target}\r\n{WAITED_HEADER}: {waited}\r\n{GENERATION_HEADER}: {}\r\n",
+            plan.routes.generation
         );
     }
     let has_body = !req.body.is_empty() || matches!(&*head.method, "POST" | "PUT" | "PATCH");
--- a/components/gateway/tests/relay/forward.rs
+++ b/components/gateway/tests/relay/forward.rs
@@ -152,3 +152,27 @@
         caller.join().unwrap();
     }
 }
+
+/// Guards against a request that is handled by an older configuration than an earlier one: the entry
+/// VM of the other region may learn of a configuration later than the one that forwards to it
+/// (CONFIG).
+#[test]
+fn request_forwarded_under_a_newer_configuration_is_not_run() {
+    let server = TestServer::start(|_, id| ok_response(id, "done"));
+    let entry_vm = TestEntryVm::start(&[&server]);
+    let in_force = entry_vm.node.generation();
+    let send = |generation: u64, id: &str| {
+        let mut stream = std::net::TcpStream::connect(entry_vm.node.own().peers).unwrap();
+        let head = format!(
+            "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: {id}\r\nX-Deadline: 2000\r\n\
+             X-Target-Ms: 500\r\nX-Generation: {generation}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).unwrap();
+        read_response(&mut stream).expect("response")
+    };
+    let (status, head, _) = send(in_force + 1, "a1");
+    assert_eq!((status, server.count()), (503, 0), "{head}");
+    assert!(head.contains("x-outcome: not-run"), "{head}");
+    assert_eq!(send(in_force, "a2").0, 200);
+    assert_eq!(send(in_force - 1, "a3").0, 200);
+}
