Report an unknown outcome after a lost attempt on the product's own interface

What callers saw: an idempotent request was refused as not run (209) although a server had run it. Binding work is not affected: it is sent once.

A hedge that was lost was forgotten, too.

Fix: the code of the first attempt with an unknown outcome is kept, hedges included, and replaces a later refusal.

--- a/components/deployment/tests/failures/server_faults.rs
+++ b/components/deployment/tests/failures/server_faults.rs
@@ -153,3 +153,29 @@
         assert!(report.not_run.contains_key(&205), "{report}");
     });
 }
+
+/// Guards against a refusal as not run of a request that a server may have executed: its first
+/// attempt lost the response, and a later one was shed or got no slot.
+#[test]
+fn shed_retry_does_not_hide_a_lost_attempt() {
+    run(async {
+        let d = Deployment::start(options(Shape::default())).await.unwrap();
+        for (i, server) in d.servers.values().enumerate() {
+            server.set_faults(|f| {
+                f.shed_all = i % 3 == 0;
+                f.bad_answers = Some(ResponseFaultRule {
+                    kind: ResponseFault::Close,
+                    probability: 0.3,
+                    left: None,
+                });
+            });
+        }
+        let load = AllServices::start(&caller(&d), |p| {
+            p.max_attempts = 1;
+            p.duplicate_share = 0.0;
+        });
+        pause(2_000).await;
+        let operations = load.finish().await;
+        assert_consistent("lost-then-shed", &d, &operations);
+    });
+}
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -2,7 +2,7 @@
 //! hedging.
 
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
 
 use async_channel::Receiver;
@@ -31,12 +31,27 @@
 
 /// Serves an idempotent or deferrable request with the servers of this domain.
 pub async fn serve(node: &Arc<Node>, meta: &Meta, outgoing: &Outgoing) -> Result<Response, Code> {
+    let lost = OnceLock::new();
+    serve_until_answered(node, meta, outgoing, &lost)
+        .await
+        // A later refusal says nothing about an earlier attempt that a server may have run.
+        .map_err(|code| lost.get().copied().unwrap_or(code))
+}
+
+/// Makes attempts until one gives an answer. `lost` gets the code of the first attempt whose
+/// outcome is unknown, if there is one.
+async fn serve_until_answered(
+    node: &Arc<Node>,
+    meta: &Meta,
+    outgoing: &Outgoing,
+    lost: &OnceLock<Code>,
+) -> Result<Response, Code> {
     let mut excluded_servers = ExcludedServers::new();
     let mut retries = 0;
     loop {
         let slot = acquire(node, meta, &excluded_servers).await?;
         let AttemptResult { attempt, mut slot } =
-            attempt_hedged(node, meta, outgoing, slot, &mut excluded_servers).await;
+            attempt_hedged(node, meta, outgoing, slot, &mut excluded_servers, lost).await;
         let (reason, code) = match attempt {
             Attempt::Answer(res) => return Ok(forward_answer(*res, slot)),
             Attempt::NotRun(NotRun::Connect) => (RetryReason::Connect, Code::NoServer),
@@ -44,6 +59,9 @@
             Attempt::Unknown(code @ Code::AnswerTimeout) => (RetryReason::Timeout, code),
             Attempt::Unknown(code) => (RetryReason::Closed, code),
         };
+        if let Attempt::Unknown(code) = attempt {
+            lost.get_or_init(|| code);
+        }
         slot.end(if reason == RetryReason::Shed {
             Outcome::Shed
         } else {
@@ -82,13 +100,15 @@
 
 /// Sends the request to one server and, after the hedge delay, to a second one.
 ///
-/// The first attempt to finish cancels the other, but a failed hedge is ignored.
+/// The first attempt to finish cancels the other. A failed hedge is ignored, but `lost` records that
+/// its server may have run the request.
 async fn attempt_hedged(
     node: &Arc<Node>,
     meta: &Meta,
     outgoing: &Outgoing,
     slot: Slot,
     excluded_servers: &mut ExcludedServers,
+    lost: &OnceLock<Code>,
 ) -> AttemptResult {
     excluded_servers.push(slot.server().clone());
     let Some(delay) = node.admission.hedge_delay(meta) else {
@@ -102,6 +122,9 @@
                 metrics::counter!("retries_total", "reason" => "hedge", "result" => "granted")
                     .increment(1);
                 let result = attempt_server(node, meta, outgoing, slot).await;
+                if let Attempt::Unknown(code) = result.attempt {
+                    lost.get_or_init(|| code);
+                }
                 if !matches!(result.attempt, Attempt::Answer(_)) {
                     futures_lite::future::pending::<()>().await;
                 }
