--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -227,6 +227,11 @@
         self.freshness.confirm(polled_at);
     }
 
+    /// Returns whether this process was paused after a time since boot.
+    pub fn paused_since(&self, at: Duration) -> bool {
+        self.freshness.paused_since(at)
+    }
+
     /// Ends a request. Does nothing if `number` has ended already.
     fn end(&self, number: u64, outcome: Outcome, load: Option<dispatch::LoadReport>) {
         self.with_state(|inner, now| inner.end_request(number, outcome, load, now));
--- a/components/gateway/src/freshness.rs
+++ b/components/gateway/src/freshness.rs
@@ -56,6 +56,12 @@
         }
     }
 
+    /// Returns whether the process was paused after a time since boot.
+    pub fn paused_since(&self, at: Duration) -> bool {
+        self.observe();
+        self.lock().resumed_at > at
+    }
+
     /// Records an answer of the platform to a poll that started at this time since boot.
     pub fn confirm(&self, polled_at: Duration) {
         let mut state = self.lock();
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -153,6 +153,11 @@
         self.dispatcher.confirm_servers(polled_at);
     }
 
+    /// Returns whether this process did not run for a while after a time since boot.
+    pub fn paused_since(&self, at: Duration) -> bool {
+        self.dispatcher.paused_since(at)
+    }
+
     pub fn remove_server(&self, id: &str) {
         self.dispatcher.remove_server(id);
     }
