--- a/components/gateway/tests/relay/harness.rs
+++ b/components/gateway/tests/relay/harness.rs
@@ -312,10 +312,8 @@
     }
 }
 
-/// Returns an address with a free port. Another process may take the port before it is bound again.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("bind listener");
-    listener.local_addr().expect("listener address")
+    standins::address::free().expect("free loopback port")
 }
 
 /// Runs the executor of the process in the background; only the first call has an effect.
