--- a/components/gateway/tests/relay/forward.rs
+++ b/components/gateway/tests/relay/forward.rs
@@ -176,3 +176,35 @@
     assert_eq!(send(in_force, "a2").0, 200);
     assert_eq!(send(in_force - 1, "a3").0, 200);
 }
+
+/// Guards against a refusal of an earlier request that the entry VM of another region, or a faulty
+/// server behind it, repeats on a kept connection: taken for the answer, a binding request would
+/// run here as well (TWICE) or be refused as not run (REFUSED).
+#[test]
+fn repeated_refusal_of_another_region_is_not_taken_for_the_answer() {
+    let refusal = |id: Option<&str>| {
+        let id = id.map_or(String::new(), |id| format!("X-Id: {id}\r\n"));
+        let head =
+            format!("HTTP/1.1 503 Busy\r\n{id}X-Outcome: not-run\r\nContent-Length: 0\r\n\r\n");
+        ServerAction::Send(head.into_bytes())
+    };
+    let local = slow_server();
+    let remote = TestServer::start(move |n, id| {
+        let mut actions = vec![refusal(None), refusal(Some("earlier"))];
+        actions.truncate(n.min(2));
+        actions.extend(ok_response(id, "far"));
+        actions
+    });
+    let entry_vm = TestEntryVm::start(&[&local]);
+    let callers = occupy_slots(&entry_vm, &local, entry_vm.callers);
+    let _remote = RemoteEntryVm::start(&entry_vm, &remote);
+    thread::sleep(Duration::from_millis(200));
+    for i in 0..3 {
+        let (status, head, body) = entry_vm.send("POST", "/order/2", &format!("a{i}"));
+        assert_eq!((status, &*body), (200, "far"), "{head}");
+    }
+    assert_eq!((remote.count(), local.count()), (3, 3));
+    for caller in callers {
+        caller.join().unwrap();
+    }
+}
