Do not change pool owners before the capacity of a new member arrives

What callers saw: nothing certain; requests of a whole region move to other pool owners and back within milliseconds to a second, small entry VMs among them, when an entry VM restarts or joins behind a lossy link. Each move sends every pending request and slot in use again, and two owners may grant the same slots meanwhile.

That rule is for entry VMs of an older version.

Fix: a member counts as the smallest for one second from its first heartbeat, and only then as one of an older version. unknown_capacity_leaves_the_choice_to_the_hash checks the same as before, after that second.

--- a/components/dispatch/src/members.rs
+++ b/components/dispatch/src/members.rs
@@ -16,6 +16,9 @@
 /// Time without a heartbeat after which heartbeats to a member become rare; most members of other
 /// regions send one in 30 seconds.
 const LONG_SILENCE: Duration = Duration::from_secs(65);
+/// Time for which a new member counts as the smallest while its capacity is unknown, which arrives in
+/// a message of its own; five heartbeat periods. After that it counts as one of an older version.
+const CAPACITY_WAIT: Duration = Duration::from_secs(1);
 /// Time without a heartbeat after which a member is removed. Longer than a usual network partition:
 /// two members that have removed each other can only meet again through a third one.
 const EXPIRE_AFTER: Duration = Duration::from_mins(10);
@@ -51,7 +54,7 @@
 }
 
 /// Resources of an entry VM.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Capacity {
     /// Processor in thousandths of a core.
     pub millicores: u32,
@@ -95,6 +98,8 @@
     last_heartbeat: Option<Duration>,
     /// Time of the last heartbeat, or when the member was added.
     last_seen: Duration,
+    /// Time of the first heartbeat of this incarnation, or when the member was added.
+    first_seen: Duration,
     /// Hash of the name, for rendezvous hashing.
     hash: u64,
     /// `None` until it is received.
@@ -122,6 +127,7 @@
             capacity: None,
             hash: hash(&member.id),
             member,
+            first_seen: last_seen,
             last_heartbeat,
             last_seen,
         }
@@ -163,13 +169,15 @@
         let changed = self.others.get(&member.id).is_none_or(|old| {
             old.member != member || old.last_heartbeat.is_none_or(|at| at + timeout <= now)
         });
-        let capacity = self
+        let known = self
             .others
             .get(&member.id)
-            .filter(|p| p.member.incarnation == member.incarnation)
-            .and_then(|p| p.capacity);
+            .filter(|p| p.member.incarnation == member.incarnation);
         let peer = Peer {
-            capacity,
+            capacity: known.and_then(|p| p.capacity),
+            first_seen: known
+                .filter(|p| p.last_heartbeat.is_some())
+                .map_or(now, |p| p.first_seen),
             ..Peer::new(member, Some(now), now)
         };
         self.others.insert(peer.member.id.clone(), peer);
@@ -264,6 +272,13 @@
         self.own.state == MemberState::Ready && ranked_higher.count() < count
     }
 
+    /// Returns another member as a candidate; the smallest one while its capacity is still to arrive.
+    fn candidate<'a>(&self, peer: &'a Peer, now: Duration) -> Candidate<'a> {
+        let awaited = self.own_capacity.is_some() && now < peer.first_seen + CAPACITY_WAIT;
+        let capacity = peer.capacity.or_else(|| awaited.then(Capacity::default));
+        (peer.hash, &peer.member, capacity)
+    }
+
     /// Returns the available members of a region, itself included.
     fn candidates<'a>(
         &'a self,
@@ -277,7 +292,7 @@
         ));
         let others = self.available_peers(now);
         others
-            .map(|p| (p.hash, &p.member, p.capacity))
+            .map(move |p| self.candidate(p, now))
             .chain(own)
             .filter(move |(_, m, _)| &*m.region == region)
     }
@@ -314,8 +329,7 @@
                 && p.member.domain == self.own.domain
                 && p.member.state != MemberState::Leaving
         });
-        let others = others.map(|p| (p.hash, &p.member, p.capacity));
-        let mut members: Vec<Candidate> = others.collect();
+        let mut members: Vec<Candidate> = others.map(|p| self.candidate(p, now)).collect();
         members.push((self.own_hash, &self.own, self.own_capacity));
         let largest = largest_capacity(members.iter().copied());
         members.sort_by_key(|(hash, _, capacity)| {
