Check a slot of the product's own interface again when the request is sent

Cause: between the choice of a server and the first byte lie the connection and any pause of the process. Binding work checked the slot again there, but not whether the server is leaving; other requests checked nothing.

Evidence: server_that_left_during_the_connect_gets_no_request failed: the server answered a request 2.5 s after it had announced its stop. It passes now for all three classes; tests of entry, deployment and dispatch pass.

Fix: may_send includes the state of the server, and both paths check it once the connection is open. A request that is withdrawn there is tried elsewhere or refused as not run, and does not count as a failure of the server.

--- a/components/entry/src/admission/service.rs
+++ b/components/entry/src/admission/service.rs
@@ -118,6 +118,12 @@
         slots
     }
 
+    /// Returns whether a server is known and not leaving.
+    pub fn accepts_requests(&self, server: &ServerId) -> bool {
+        let server = self.servers.get(server);
+        server.is_some_and(|s| s.effective_state() != State::Leaving)
+    }
+
     /// Chooses a server for an attempt with the given deadline.
     pub fn choose(
         &self,
--- a/components/entry/src/admission/slot.rs
+++ b/components/entry/src/admission/slot.rs
@@ -38,10 +38,15 @@
     }
 
     /// Returns whether the request may still be sent: since the slot was acquired, the process may
-    /// have been paused or the loan of a borrowed slot may have ended.
+    /// have been paused, the loan of a borrowed slot may have ended, or the server may be leaving.
     pub fn may_send(&self) -> bool {
         let now = self.admission.clock.uptime();
-        self.admission.lock().ledger.may_send(now, &self.permit)
+        let mut inner = self.admission.lock();
+        let accepts_requests = inner
+            .services
+            .get(&self.service)
+            .is_some_and(|s| s.accepts_requests(self.server()));
+        accepts_requests && inner.ledger.may_send(now, &self.permit)
     }
 
     /// Records the outcome of the attempt; without this call it counts as cancelled.
--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -30,6 +30,8 @@
 pub enum NotRun {
     /// The connection could not be opened.
     Connect,
+    /// The server must not get the request any more; nothing was sent.
+    Withdrawn,
     /// The server refused the request without running it.
     Shed,
 }
--- a/components/entry/src/relay.rs
+++ b/components/entry/src/relay.rs
@@ -54,7 +54,9 @@
             attempt_hedged(node, meta, outgoing, slot, &mut excluded_servers, lost).await;
         let (reason, code) = match attempt {
             Attempt::Answer(res) => return Ok(forward_answer(*res, slot)),
-            Attempt::NotRun(NotRun::Connect) => (RetryReason::Connect, Code::NoServer),
+            Attempt::NotRun(NotRun::Connect | NotRun::Withdrawn) => {
+                (RetryReason::Connect, Code::NoServer)
+            }
             Attempt::NotRun(NotRun::Shed) => (RetryReason::Shed, Code::ServersShed),
             Attempt::Unknown(code @ Code::AnswerTimeout) => (RetryReason::Timeout, code),
             Attempt::Unknown(code) => (RetryReason::Closed, code),
@@ -62,11 +64,11 @@
         if let Attempt::Unknown(code) = attempt {
             lost.get_or_init(|| code);
         }
-        slot.end(if reason == RetryReason::Shed {
-            Outcome::Shed
-        } else {
-            Outcome::Failed
-        });
+        match attempt {
+            Attempt::NotRun(NotRun::Withdrawn) => {}
+            Attempt::NotRun(NotRun::Shed) => slot.end(Outcome::Shed),
+            _ => slot.end(Outcome::Failed),
+        }
         let server = slot.server().clone();
         drop(slot);
         if !excluded_servers.contains(&server) {
@@ -149,6 +151,12 @@
             slot,
         };
     };
+    if !slot.may_send() {
+        return AttemptResult {
+            attempt: Attempt::NotRun(NotRun::Withdrawn),
+            slot,
+        };
+    }
     let remaining = meta.deadline.saturating_sub(node.now());
     let limits = AnswerLimits {
         max_body: node.settings.max_response_body,
--- a/components/entry/src/work/send.rs
+++ b/components/entry/src/work/send.rs
@@ -127,7 +127,7 @@
         check(node, SendEvent::NotExecuted)?;
         excluded_servers.push(server);
         let (reason, code) = match not_run {
-            NotRun::Connect => (RetryReason::Connect, Code::NoServer),
+            NotRun::Connect | NotRun::Withdrawn => (RetryReason::Connect, Code::NoServer),
             NotRun::Shed => (RetryReason::Shed, Code::ServersShed),
         };
         if excluded_servers.len() >= MAX_SERVERS_TRIED
@@ -156,7 +156,7 @@
     // The process may have been paused since the slot was acquired, so this is checked again right
     // before the send.
     if !slot.may_send() {
-        return Ok(Err(NotRun::Connect));
+        return Ok(Err(NotRun::Withdrawn));
     }
     check(node, SendEvent::BeforeSend)?;
     let remaining = meta.deadline.saturating_sub(node.now());
