Exclude a server whose attempt was lost also after its hedge was withdrawn

A withdrawn attempt took the newest excluded server off the list. If the attempt was a hedge, that was the server of the lost first attempt, so a retry could go there again.

--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -272,7 +272,7 @@
             trace.record_attempt(&server, "withdrawn", elapsed);
             slot.set_outcome(Outcome::Unused);
             // The next grant is checked as well; a server that is back may be used again.
-            history.excluded_servers.pop();
+            history.excluded_servers.retain(|s| *s != server);
             Step::Retry
         }
         Some(Err(Failure::Lost(e))) => {
