Read changes from other entry VMs while all sources are silent

A source that is silent on an open connection looks like a table without changes for up to 20 s. Two entry VMs of the failure domain are followed as well, which does not help if the store turns those away, too. It is the class of the other causes: decisions on a view that nobody knows to be old.

Fix: entry VMs tell a random one of their region, and one of each other region, the last change of each table that they have applied. One that is behind for a second reads the changes from the sender. Positions alone would not do: the store has one counter for all tables, so they differ without a change.

--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -6,6 +6,7 @@
 mod inner;
 mod ownership;
 mod periodic;
+mod progress;
 mod slot;
 mod timing;
 
@@ -221,6 +222,19 @@
             .map(|(r, peer)| (r.clone(), peer))
     }
 
+    /// Records how far a table of the platform has been replicated.
+    pub fn set_progress(&self, table: &str, position: u64, last_change: u64) {
+        let mut inner = self.lock();
+        inner.progress.advance(table, position, last_change);
+    }
+
+    /// Returns the peer address of an entry VM that has been ahead of this one for some time, until
+    /// it is reported ahead again.
+    pub fn take_peer_ahead(&self, table: &str) -> Option<SocketAddr> {
+        let now = self.now();
+        self.lock().progress.take_ahead(table, now)
+    }
+
     /// Records an answer of the platform about servers to a poll that started at this time since
     /// boot.
     pub fn confirm_servers(&self, polled_at: Duration) {
--- a/components/gateway/src/dispatcher/heartbeats.rs
+++ b/components/gateway/src/dispatcher/heartbeats.rs
@@ -53,6 +53,7 @@
         if is_due(&mut self.due.own_region, OWN_REGION_HEARTBEAT_INTERVAL, now) {
             self.expire_members(now);
             self.send_alive(now, |m, region, silent| *m.region == *region && !silent);
+            self.send_last_changes();
         }
         if is_due(
             &mut self.due.other_regions,
@@ -145,6 +146,19 @@
         }
     }
 
+    /// Tells a random member of the region how far this entry VM has replicated the platform's tables.
+    /// Members that are behind read from the sender, so changes spread even if the platform answers
+    /// few entry VMs.
+    fn send_last_changes(&mut self) {
+        let own = &self.members.own;
+        let members = self.members.seen().filter(|m| m.region == own.region);
+        let members: Vec<SocketAddr> = members.map(|m| m.peers).collect();
+        if let Some(&to) = fastrand::choice(&members) {
+            let changes = self.progress.last_changes();
+            self.send(to, Message::LastChanges(changes));
+        }
+    }
+
     fn contact_seeds(&mut self) {
         let own = self.members.own.peers;
         let digest = self.members.digest();
@@ -156,7 +170,8 @@
         }
     }
 
-    /// Pings a random available entry VM in each other region.
+    /// Pings a random available entry VM in each other region, and tells it how far this one has
+    /// replicated the platform's tables.
     fn measure_round_trips(&mut self, now: Duration) {
         let own = &self.members.own.region;
         let mut regions: Vec<_> = self.domains.values().filter(|r| *r != own).collect();
@@ -171,8 +186,10 @@
             })
             .collect();
         let sent_us = now.as_micros() as u64;
+        let changes = self.progress.last_changes();
         for to in targets {
             self.send(to, Message::Ping { sent_us });
+            self.send(to, Message::LastChanges(changes.clone()));
         }
     }
 
--- a/components/gateway/src/dispatcher/inbox.rs
+++ b/components/gateway/src/dispatcher/inbox.rs
@@ -8,7 +8,7 @@
 
 use super::inner::Inner;
 use super::timing::DEFAULT_ROUND_TRIP;
-use crate::message::Message;
+use crate::message::{LastChange, Message};
 
 impl Inner {
     pub fn receive(&mut self, message: Message, from: SocketAddr, now: Duration) {
@@ -71,6 +71,7 @@
                 self.pool(&service).import_placement(placement, now);
             }
             Message::Capacities(capacities) => self.receive_capacities(capacities, now),
+            Message::LastChanges(changes) => self.receive_last_changes(changes, from, now),
             Message::PoolSnapshots { region, pools, .. } => self.receive_pools(&region, pools, now),
         }
     }
@@ -82,6 +83,15 @@
             .map(|m| m.id.clone())
     }
 
+    /// Records the last changes that a known member has applied.
+    fn receive_last_changes(&mut self, changes: Vec<LastChange>, from: SocketAddr, now: Duration) {
+        if self.sender(from).is_some() {
+            for change in changes {
+                self.progress.record(change, from, now);
+            }
+        }
+    }
+
     fn receive_echo(&mut self, id: &str, sent_us: u64, now: Duration) {
         let Some(region) = self.members.get(id).map(|m| m.region.clone()) else {
             return;
--- a/components/gateway/src/dispatcher/inner.rs
+++ b/components/gateway/src/dispatcher/inner.rs
@@ -13,6 +13,7 @@
 
 use super::SlotRequest;
 use super::heartbeats::DueTimes;
+use super::progress::Progress;
 use super::timing::{QUEUED_CHECK_INTERVAL, REQUEST_RESEND_INTERVAL};
 use crate::message::Message;
 use crate::settings::Settings;
@@ -70,6 +71,7 @@
     pub round_trips: BTreeMap<RegionId, Duration>,
     /// Peer addresses of the entry VMs that have requested slots, by incarnation.
     pub requester_addresses: HashMap<u64, SocketAddr>,
+    pub progress: Progress,
     pub due: DueTimes,
     pub next_snapshot_at: Duration,
     /// Members removed after a long silence that [`super::Dispatcher::take_expired_members`] has
@@ -96,6 +98,7 @@
             unconfirmed_ends: HashMap::new(),
             round_trips: BTreeMap::new(),
             requester_addresses: HashMap::new(),
+            progress: Progress::default(),
             due: DueTimes::default(),
             next_snapshot_at: Duration::ZERO,
             expired_members: Vec::new(),
--- /dev/null
+++ b/components/gateway/src/dispatcher/progress.rs
@@ -0,0 +1,78 @@
+//! How far the entry VMs have replicated the platform's tables. A source that is silent looks like a
+//! table without changes; only other entry VMs can tell that there are some.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::message::LastChange;
+
+/// Time for which this entry VM may be behind another one; longer than the batches and transfers of
+/// a working source take.
+const MAX_LAG: Duration = Duration::from_secs(1);
+
+/// Progress of this entry VM, and the entry VMs that are ahead of it, by table.
+#[derive(Debug, Default)]
+pub(super) struct Progress {
+    tables: BTreeMap<Box<str>, TableProgress>,
+}
+
+#[derive(Debug, Default)]
+struct TableProgress {
+    /// Transaction up to which this entry VM has all changes.
+    position: u64,
+    /// Transaction of the last change that this entry VM has applied.
+    last_change: u64,
+    ahead: Option<Ahead>,
+}
+
+/// A change that this entry VM does not have.
+#[derive(Debug)]
+struct Ahead {
+    change: u64,
+    /// Peer address of the entry VM that reported this change or a later one last.
+    peer: SocketAddr,
+    /// When the change was first reported.
+    since: Duration,
+}
+
+impl Progress {
+    /// Returns the last change of each table that this entry VM has applied.
+    pub fn last_changes(&self) -> Vec<LastChange> {
+        let tables = self.tables.iter().filter(|(_, t)| t.last_change > 0);
+        tables.map(|(n, t)| (n.clone(), t.last_change)).collect()
+    }
+
+    /// Records the progress of this entry VM.
+    pub fn advance(&mut self, table: &str, position: u64, last_change: u64) {
+        let table = self.tables.entry(table.into()).or_default();
+        table.position = table.position.max(position);
+        table.last_change = table.last_change.max(last_change);
+        table.ahead.take_if(|a| a.change <= table.position);
+    }
+
+    /// Records the last change that another entry VM has applied.
+    pub fn record(&mut self, (table, change): LastChange, peer: SocketAddr, now: Duration) {
+        let table = self.tables.entry(table).or_default();
+        match &mut table.ahead {
+            _ if change <= table.position => {}
+            Some(ahead) if change >= ahead.change => ahead.peer = peer,
+            Some(_) => {}
+            None => {
+                table.ahead = Some(Ahead {
+                    change,
+                    peer,
+                    since: now,
+                });
+            }
+        }
+    }
+
+    /// Returns an entry VM that has been ahead of this one for longer than `MAX_LAG`. It is not
+    /// returned again until it is reported ahead again.
+    pub fn take_ahead(&mut self, table: &str, now: Duration) -> Option<SocketAddr> {
+        let ahead = &mut self.tables.get_mut(table)?.ahead;
+        let overdue = ahead.take_if(|a| a.since + MAX_LAG <= now);
+        overdue.map(|a| a.peer)
+    }
+}
--- a/components/gateway/src/message.rs
+++ b/components/gateway/src/message.rs
@@ -98,8 +98,14 @@
     /// Capacities of members, sent after their member list entries. Versions without it ignore the
     /// message.
     Capacities(Vec<(Incarnation, Capacity)>),
+    /// The last change of each table of the platform that the sender has applied. Versions without
+    /// it ignore the message.
+    LastChanges(Vec<LastChange>),
 }
 
+/// Name of a table of the platform and the transaction of a change.
+pub type LastChange = (Box<str>, u64);
+
 /// Encodes a message. Logs a failure and returns `None`.
 pub fn encode(message: &Message) -> Option<Vec<u8>> {
     match rmp_serde::to_vec(message) {
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -153,6 +153,18 @@
         self.dispatcher.confirm_servers(polled_at);
     }
 
+    /// Records the transaction up to which a table of the platform has been replicated, and that of
+    /// its last change, which other entry VMs are told.
+    pub fn set_progress(&self, table: &str, position: u64, last_change: u64) {
+        self.dispatcher.set_progress(table, position, last_change);
+    }
+
+    /// Returns the peer address of an entry VM that has been ahead of this one for some time, until
+    /// it is reported ahead again.
+    pub fn take_peer_ahead(&self, table: &str) -> Option<SocketAddr> {
+        self.dispatcher.take_peer_ahead(table)
+    }
+
     /// Returns whether this process did not run for a while after a time since boot.
     pub fn paused_since(&self, at: Duration) -> bool {
         self.dispatcher.paused_since(at)
--- a/components/replica/src/table.rs
+++ b/components/replica/src/table.rs
@@ -42,6 +42,8 @@
     /// Rows and tombstones by key.
     rows: BTreeMap<Box<str>, Entry>,
     position: Option<Version>,
+    /// Transaction of the newest row or tombstone that was applied; 0 before the first.
+    last_change: Version,
     /// Changes after this transaction are complete; earlier ones may be missing.
     history_start: Version,
 }
@@ -52,6 +54,11 @@
         self.position
     }
 
+    /// Returns the transaction of the newest row or tombstone that was applied; 0 before the first.
+    pub fn last_change(&self) -> Version {
+        self.last_change
+    }
+
     /// Applies a snapshot; returns the rows that changed. A snapshot older than the replica is
     /// rejected, because rows missing from it may have been added later.
     pub fn apply_snapshot(&mut self, rows: Rows) -> Result<Vec<Row>, VersionTooOld> {
@@ -126,6 +133,7 @@
                 continue;
             }
             let was_present = local.is_some_and(|(value, _)| value.is_some());
+            self.last_change = self.last_change.max(row.version);
             let entry = (row.value.clone(), row.version);
             self.rows.insert(row.key.clone(), entry);
             if was_present || row.value.is_some() {
