--- a/components/gateway/src/dispatcher/progress.rs
+++ b/components/gateway/src/dispatcher/progress.rs
@@ -51,9 +51,12 @@
         table.ahead.take_if(|a| a.change <= table.position);
     }
 
-    /// Records the last change that another entry VM has applied.
+    /// Records the last change that another entry VM has applied. Tables without a snapshot here are
+    /// ignored.
     pub fn record(&mut self, (table, change): LastChange, peer: SocketAddr, now: Duration) {
-        let table = self.tables.entry(table).or_default();
+        let Some(table) = self.tables.get_mut(&table) else {
+            return;
+        };
         match &mut table.ahead {
             _ if change <= table.position => {}
             Some(ahead) if change >= ahead.change => ahead.peer = peer,
