--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -123,7 +123,7 @@
     }
 
     pub fn remove_server(&self, id: &str) {
-        self.with_state(|inner, _| inner.remove_server(id));
+        self.with_state(|inner, now| inner.remove_server(id, now));
     }
 
     /// Sets the evacuated failure domains; their servers get no requests.
--- a/components/gateway/src/dispatcher/inner.rs
+++ b/components/gateway/src/dispatcher/inner.rs
@@ -40,6 +40,7 @@
     pub grant: Grant,
     /// Pool owner that counts the slot as in use; `None` for the own pool.
     pub owner: Option<EntryVmId>,
+    granted_at: Duration,
     /// Deadline of the request.
     pub expires_at: Duration,
 }
@@ -139,6 +140,9 @@
     }
 
     pub fn put_server(&mut self, server: Server, now: Duration) {
+        if !server.ready {
+            self.log_open_requests(&server.id, now);
+        }
         let in_own_region = self.domains.get(&server.domain) == Some(&self.members.own.region);
         for (service, pool) in &mut self.pools {
             if !in_own_region || *service != server.service {
@@ -154,12 +158,29 @@
         self.schedule_all(now);
     }
 
-    pub fn remove_server(&mut self, id: &str) {
+    pub fn remove_server(&mut self, id: &str, now: Duration) {
+        self.log_open_requests(id, now);
         for pool in self.pools.values_mut() {
             pool.remove_server(id);
         }
     }
 
+    /// Logs the requests of this entry VM that are open at a server when its stop becomes known.
+    fn log_open_requests(&self, server: &str, now: Duration) {
+        let open = self
+            .active_slots
+            .values()
+            .filter(|s| &*s.grant.server == server);
+        let ages = open.map(|s| now.saturating_sub(s.granted_at));
+        let (count, oldest) = ages.fold((0, Duration::ZERO), |(n, max), age| (n + 1, max.max(age)));
+        if count > 0 {
+            log::info!(
+                "event=requests_open_at_stop server={server} open={count} oldest_ms={}",
+                oldest.as_millis()
+            );
+        }
+    }
+
     pub fn evacuate(&mut self, domains: Vec<DomainId>, now: Duration) {
         for pool in self.pools.values_mut() {
             pool.evacuate(&domains, now);
@@ -361,6 +382,7 @@
                 service: pending.request.service.clone(),
                 grant: grant.clone(),
                 owner: from,
+                granted_at: now,
                 expires_at: pending.sent_at + pending.request.deadline_left,
             };
             self.active_slots.insert(number, slot);
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -80,9 +80,11 @@
     now: impl Fn() -> Duration,
 ) -> Result<ReceivedResponse, Failure> {
     let mut request_written = false;
+    connection.begin_request();
     let head = send_and_read_head(&mut connection, out, names, &mut request_written)
         .await
         .map_err(Failure::Lost)?;
+    connection.end_request();
     let framing = head.framing(out.method).map_err(Failure::Lost)?;
     let mut body = Body::new(framing);
     let mut bytes = Vec::new();
--- a/components/gateway/src/http/connection.rs
+++ b/components/gateway/src/http/connection.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::Poll;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_net::TcpStream;
 use futures_lite::{AsyncRead, AsyncWriteExt};
@@ -28,6 +28,8 @@
     needs_more: bool,
     /// Lets other tasks run while the peer sends without pause.
     budget: YieldBudget,
+    /// When a request was written whose response is not complete.
+    request_since: Option<Instant>,
 }
 
 impl Connection {
@@ -45,6 +47,7 @@
             consumed: 0,
             needs_more: false,
             budget: YieldBudget::default(),
+            request_since: None,
         }
     }
 
@@ -56,6 +59,16 @@
         Ok(Connection::new(stream))
     }
 
+    /// Records that a request is about to be written.
+    pub fn begin_request(&mut self) {
+        self.request_since = Some(Instant::now());
+    }
+
+    /// Records that the response to the request has arrived.
+    pub fn end_request(&mut self) {
+        self.request_since = None;
+    }
+
     /// Returns a second handle of the stream, for writing concurrently with reading.
     pub fn stream(&self) -> TcpStream {
         self.stream.clone()
@@ -198,3 +211,20 @@
         peeked.is_some()
     }
 }
+
+impl Drop for Connection {
+    /// Logs a request that is given up before its response: the peer may have received it, or may
+    /// receive it later.
+    fn drop(&mut self) {
+        let Some(since) = self.request_since else {
+            return;
+        };
+        metrics::counter!("gateway_requests_given_up_total").increment(1);
+        let address = self.stream.peer_addr();
+        log::info!(
+            "event=request_given_up address={} written_ms={}",
+            address.map_or_else(|_| "unknown".to_owned(), |a| a.to_string()),
+            since.elapsed().as_millis()
+        );
+    }
+}
