Add failing tests of requests that are delivered after a cut

A partition of loopback sockets in the stand-ins: a packet filter drops what arrives, so that the sender's kernel keeps the data, as behind a cut link.

--- a/components/gateway/tests/relay/answers.rs
+++ b/components/gateway/tests/relay/answers.rs
@@ -190,11 +190,7 @@
 /// Guards against requests that fail because one of the servers cannot be reached.
 #[test]
 fn unreachable_server_is_skipped() {
-    let gone = TestServer {
-        address: ([127, 0, 0, 1], 9).into(),
-        requests: Arc::default(),
-        cancelled: Arc::default(),
-    };
+    let gone = TestServer::absent(([127, 0, 0, 1], 9).into());
     let live = TestServer::start(|_, id| ok_response(id, "done"));
     let entry_vm = TestEntryVm::start(&[&gone, &live]);
     for i in 0..6 {
--- a/components/gateway/tests/relay/harness.rs
+++ b/components/gateway/tests/relay/harness.rs
@@ -9,6 +9,7 @@
 
 use dispatch::{Route, RouteTable, Server, Service, WeightedService};
 use gateway::{Dialect, HeaderNames, LookUpQuery, Node, Settings};
+use standins::partition;
 
 /// Threads of the executor in tests with an entry VM.
 pub const EXECUTOR_THREADS: usize = 2;
@@ -54,6 +55,10 @@
     pub requests: Arc<Mutex<Vec<String>>>,
     /// Connections that the gateway closed while a request was being handled.
     pub cancelled: Arc<AtomicUsize>,
+    /// `None` if nothing listens at the address.
+    listener: Option<Arc<TcpListener>>,
+    /// Accepted connections.
+    streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl TestServer {
@@ -65,20 +70,34 @@
         Self::serve(listener, script)
     }
 
+    /// Returns a server at whose address nothing listens.
+    pub fn absent(address: SocketAddr) -> Self {
+        TestServer {
+            address,
+            requests: Arc::default(),
+            cancelled: Arc::default(),
+            listener: None,
+            streams: Arc::default(),
+        }
+    }
+
     /// Serves the connections of a listener, as [`TestServer::start`] does.
     pub fn serve(
         listener: TcpListener,
         script: impl Fn(usize, &str) -> Vec<ServerAction> + Send + Sync + 'static,
     ) -> Self {
+        let listener = Arc::new(listener);
         let server = TestServer {
-            address: listener.local_addr().expect("listener address"),
-            requests: Arc::default(),
-            cancelled: Arc::default(),
+            listener: Some(listener.clone()),
+            ..Self::absent(listener.local_addr().expect("listener address"))
         };
         let script = Arc::new(script);
         let (requests, cancelled) = (server.requests.clone(), server.cancelled.clone());
+        let streams = server.streams.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                let copy = stream.try_clone().expect("clone stream");
+                streams.lock().expect("lock streams").push(copy);
                 let (script, requests) = (script.clone(), requests.clone());
                 let cancelled = cancelled.clone();
                 thread::spawn(move || serve(stream, &*script, &requests, &cancelled));
@@ -87,6 +106,24 @@
         server
     }
 
+    /// Cuts the server off from the entry VM: nothing that is sent to it arrives.
+    pub fn cut(&self) {
+        let listener = self.listener.as_ref().expect("listener");
+        partition::cut(&**listener).expect("cut listener");
+        for stream in self.streams.lock().expect("lock streams").iter() {
+            partition::cut(stream).expect("cut connection");
+        }
+    }
+
+    /// Ends the cut. What is sent again by then arrives.
+    pub fn heal(&self) {
+        let listener = self.listener.as_ref().expect("listener");
+        partition::heal(&**listener).expect("heal listener");
+        for stream in self.streams.lock().expect("lock streams").iter() {
+            partition::heal(stream).expect("heal connection");
+        }
+    }
+
     pub fn count(&self) -> usize {
         self.requests.lock().expect("lock requests").len()
     }
--- a/components/gateway/tests/relay/main.rs
+++ b/components/gateway/tests/relay/main.rs
@@ -8,4 +8,5 @@
 mod harness;
 mod hedges;
 mod malformed_input;
+mod partition;
 mod stop;
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod address;
 mod connection;
+pub mod partition;
 pub mod platform;
 pub mod server;
 pub mod store;
