Discard requests that are given up before their response

Cause: an exchange that is given up closed its connection in order. The kernel keeps what the peer has not acknowledged and sends it again after the close, until the link is back.

Evidence: two tests of the gateway with a packet filter on the server's socket failed before (one request arrived after the cut, 0 allowed), and two of the http crate (64 bytes arrived).

Why it works: closing with a linger time of zero discards the send queue and resets the connection. It applies from the write of a request to the head of its response, also when the future is dropped. Connections of the product's own interface, of the store and between entry VMs are the same two types.

--- a/components/gateway/src/http/connection.rs
+++ b/components/gateway/src/http/connection.rs
@@ -213,12 +213,12 @@
 }
 
 impl Drop for Connection {
-    /// Logs a request that is given up before its response: the peer may have received it, or may
-    /// receive it later.
+    /// A request that is given up before its response must not reach the peer any more.
     fn drop(&mut self) {
         let Some(since) = self.request_since else {
             return;
         };
+        runtime::discard_on_close(&self.stream);
         metrics::counter!("gateway_requests_given_up_total").increment(1);
         let address = self.stream.peer_addr();
         log::info!(
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -79,6 +79,7 @@
 /// Dropping the response closes the connection.
 pub async fn send(mut tcp: TcpStream, req: Request, options: &ClientOptions) -> Result<Response> {
     let head_request = req.method() == Method::Head;
+    let unanswered = DiscardOnDrop(Some(tcp.clone()));
     let exchange = async {
         let mut encoder = async_h1::client::Encoder::new(req);
         io::copy(&mut encoder, &mut tcp)
@@ -103,6 +104,7 @@
         )))
     };
     let (head, rest) = with_timeout(options.timeout, Box::pin(exchange)).await?;
+    unanswered.disarm();
     let stream = MessageStream::new(tcp, &head, &rest, options.max_body, options.timeout)?;
     let mut res = async_h1::client::decode(stream).await.map_err(|e| {
         Report::new(Error::InvalidHead("undecodable response")).attach(e.to_string())
@@ -115,6 +117,23 @@
     Ok(res)
 }
 
+/// Discards a request that is given up before its response, so that it does not reach the peer later.
+struct DiscardOnDrop(Option<TcpStream>);
+
+impl DiscardOnDrop {
+    fn disarm(mut self) {
+        self.0 = None;
+    }
+}
+
+impl Drop for DiscardOnDrop {
+    fn drop(&mut self) {
+        if let Some(tcp) = &self.0 {
+            runtime::discard_on_close(tcp);
+        }
+    }
+}
+
 /// Builds a request; `path` starts with a slash and may include a query.
 pub fn build_request(method: Method, path: &str) -> Result<Request> {
     let url = Url::parse(&format!("http://rosemaryglade{path}"))
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -2,14 +2,14 @@
 
 mod clock;
 mod executor;
-mod keep_alive;
 pub mod logger;
 pub mod recorder;
 pub mod signals;
+mod tcp;
 mod timer;
 
 pub use async_executor::Task;
 pub use clock::Clock;
 pub use executor::{YieldBudget, block_on, spawn, spawn_control, timeout};
-pub use keep_alive::enable_keep_alive;
+pub use tcp::{discard_on_close, enable_keep_alive};
 pub use timer::{TimerService, sleep};
--- a/components/runtime/src/keep_alive.rs
+++ b/components/runtime/src/tcp.rs
@@ -1,4 +1,4 @@
-//! Detection of TCP connections whose peer no longer responds.
+//! Options of TCP connections: detection of peers that no longer respond.
 
 use std::io::Result;
 use std::os::fd::AsFd;
@@ -24,3 +24,11 @@
     sockopt::set_tcp_user_timeout(socket, USER_TIMEOUT_MS)?;
     Ok(())
 }
+
+/// Makes the next close of a connection discard what the peer has not acknowledged, and reset the
+/// connection. After an orderly close, the kernel goes on sending it.
+pub fn discard_on_close(socket: &impl AsFd) {
+    if let Err(e) = sockopt::set_socket_linger(socket, Some(Duration::ZERO)) {
+        log::warn!("event=discard_failed error=\"{e}\"");
+    }
+}
