Limit the time for which a request may be under way to a server

Cause: what is written to a connection whose link is cut stays in the send queue for up to 3 s, longer than the 2.5 s after which a stopping server must get nothing. The check of the grant comes before the write, so nothing withdraws it.

With a cut of one second during the server's work, a limit that is not lifted ends the request (502 where 200 is expected).

Why it works: TCP_USER_TIMEOUT is 0.7 s, counted by the kernel from the first retransmission, until the request has been acknowledged or discarded, and 3 s from then on, so that a lost keep-alive probe ends nothing. Requests of the product's own interface have the same limit. Calls to the store keep 3 s.

--- a/components/entry/src/exchange.rs
+++ b/components/entry/src/exchange.rs
@@ -62,6 +62,7 @@
     let options = ClientOptions {
         timeout: remaining,
         max_body: limits.max_body,
+        limit_delivery: true,
         ..ClientOptions::default()
     };
     let started = std::time::Instant::now();
--- a/components/entry/src/peer.rs
+++ b/components/entry/src/peer.rs
@@ -83,6 +83,7 @@
     let options = ClientOptions {
         timeout: meta.deadline.saturating_sub(node.now()),
         max_body: node.settings.max_response_body,
+        limit_delivery: true,
         ..ClientOptions::default()
     };
     Box::pin(client::send(tcp, req, &options))
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -81,9 +81,12 @@
 ) -> Result<ReceivedResponse, Failure> {
     let mut request_written = false;
     connection.begin_request();
-    let head = send_and_read_head(&mut connection, out, names, &mut request_written)
+    let stream = connection.stream();
+    let head = send_and_read_head(&mut connection, out, names, &mut request_written);
+    let head = runtime::limit_delivery_time(&stream, head)
         .await
         .map_err(Failure::Lost)?;
+    drop(stream);
     connection.end_request();
     let framing = head.framing(out.method).map_err(Failure::Lost)?;
     let mut body = Body::new(framing);
--- a/components/gateway/tests/relay/partition.rs
+++ b/components/gateway/tests/relay/partition.rs
@@ -4,7 +4,9 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::harness::{TestEntryVm, TestServer, ok_response, read_response, request, server_entry};
+use crate::harness::{
+    ServerAction, TestEntryVm, TestServer, ok_response, read_response, request, server_entry,
+};
 
 /// Time after the end of a cut in which the kernel sends again what is still queued.
 const RETRANSMISSIONS: Duration = Duration::from_secs(3);
@@ -28,11 +30,9 @@
     });
 }
 
-/// Encodes a request with a deadline of 700 ms.
-fn request_with_short_deadline(method: &str, path: &str) -> Vec<u8> {
-    let bytes = request(method, path, "a1");
-    let text = String::from_utf8(bytes).unwrap();
-    text.replace("X-Deadline: 2000", "X-Deadline: 700")
+fn request_with_deadline(method: &str, path: &str, deadline_ms: u32) -> Vec<u8> {
+    let text = String::from_utf8(request(method, path, "a1")).unwrap();
+    text.replace("X-Deadline: 2000", &format!("X-Deadline: {deadline_ms}"))
         .into_bytes()
 }
 
@@ -43,7 +43,7 @@
     let mut stream = entry_vm.connect();
     server.cut();
     stream
-        .write_all(&request_with_short_deadline(method, path))
+        .write_all(&request_with_deadline(method, path, 700))
         .unwrap();
     thread::sleep(Duration::from_millis(100));
     announce_stop(&server, &entry_vm);
@@ -87,3 +87,25 @@
     assert_eq!(server.count(), 1, "{head}");
     assert_eq!(status, 502, "{head}");
 }
+
+/// Guards against the time limit for delivery ending a request on which the server is working, when
+/// keep-alive probes are lost for a second.
+#[test]
+fn request_in_progress_survives_lost_keep_alive_probes() {
+    let server = TestServer::start(|_, id| {
+        let mut actions = vec![ServerAction::Wait(Duration::from_millis(2700))];
+        actions.extend(ok_response(id, "done"));
+        actions
+    });
+    let entry_vm = TestEntryVm::start(&[&server]);
+    let mut stream = entry_vm.connect();
+    stream
+        .write_all(&request_with_deadline("POST", "/long/1", 6000))
+        .unwrap();
+    thread::sleep(Duration::from_millis(700));
+    server.cut();
+    thread::sleep(Duration::from_secs(1));
+    server.heal();
+    let (status, head, _) = read_response(&mut stream).unwrap();
+    assert_eq!(status, 200, "{head}");
+}
--- a/components/http/src/client.rs
+++ b/components/http/src/client.rs
@@ -25,6 +25,8 @@
     pub timeout: Duration,
     /// Size limit of the response body in bytes.
     pub max_body: u64,
+    /// Whether the request must arrive within about a second or not at all.
+    pub limit_delivery: bool,
 }
 
 impl Default for ClientOptions {
@@ -33,6 +35,7 @@
             connect_timeout: Duration::from_secs(1),
             timeout: Duration::from_secs(5),
             max_body: 64 << 20,
+            limit_delivery: false,
         }
     }
 }
@@ -79,6 +82,7 @@
 /// Dropping the response closes the connection.
 pub async fn send(mut tcp: TcpStream, req: Request, options: &ClientOptions) -> Result<Response> {
     let head_request = req.method() == Method::Head;
+    let socket = tcp.clone();
     let unanswered = DiscardOnDrop(Some(tcp.clone()));
     let exchange = async {
         let mut encoder = async_h1::client::Encoder::new(req);
@@ -103,7 +107,12 @@
             "too many interim responses",
         )))
     };
-    let (head, rest) = with_timeout(options.timeout, Box::pin(exchange)).await?;
+    let exchange = Box::pin(with_timeout(options.timeout, Box::pin(exchange)));
+    let (head, rest) = if options.limit_delivery {
+        runtime::limit_delivery_time(&socket, exchange).await?
+    } else {
+        exchange.await?
+    };
     unanswered.disarm();
     let stream = MessageStream::new(tcp, &head, &rest, options.max_body, options.timeout)?;
     let mut res = async_h1::client::decode(stream).await.map_err(|e| {
--- a/components/http/tests/partition.rs
+++ b/components/http/tests/partition.rs
@@ -2,7 +2,7 @@
 
 use std::io::Read;
 use std::net::{Ipv4Addr, TcpListener, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::Method;
 use http::client::{self, ClientOptions};
@@ -11,6 +11,10 @@
 /// Time after the end of a cut in which the kernel sends again what is still queued.
 const RETRANSMISSIONS: Duration = Duration::from_secs(3);
 
+/// Longest time for which a request may be under way; with the time in which a stop becomes known,
+/// less than the 2.5 s after which a server must get nothing.
+const MAX_DELIVERY: Duration = Duration::from_millis(1500);
+
 /// Opens a connection and cuts it; returns both ends.
 async fn cut_connection() -> (async_net::TcpStream, TcpStream) {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
@@ -61,3 +65,22 @@
         assert_eq!(bytes_after_cut(server), 0);
     });
 }
+
+/// Guards against a request that is still waited for and reaches a server long after it was written,
+/// when the server may have announced its stop.
+#[test]
+fn request_does_not_arrive_after_a_cut_that_outlasts_its_delivery_time() {
+    runtime::block_on(1, async {
+        let (tcp, server) = cut_connection().await;
+        let req = client::build_request(Method::Post, "/order").unwrap();
+        let options = ClientOptions {
+            limit_delivery: true,
+            ..ClientOptions::default()
+        };
+        let begin = Instant::now();
+        let result = Box::pin(client::exchange(tcp, req, &options)).await;
+        assert!(result.is_err());
+        assert!(begin.elapsed() < MAX_DELIVERY, "{:?}", begin.elapsed());
+        assert_eq!(bytes_after_cut(server), 0);
+    });
+}
