--- a/components/platform/src/client.rs
+++ b/components/platform/src/client.rs
@@ -41,6 +41,7 @@
             connect_timeout: settings.connect_timeout,
             timeout: settings.timeout,
             max_body: settings.max_body,
+            ..ClientOptions::default()
         };
         Client {
             settings,
