--- a/components/entry/src/agents/mod.rs
+++ b/components/entry/src/agents/mod.rs
@@ -16,5 +16,6 @@
         connect_timeout: Duration::from_millis(500),
         timeout: Duration::from_secs(1),
         max_body: 1 << 20,
+        ..ClientOptions::default()
     }
 }
--- a/components/entry/src/loans.rs
+++ b/components/entry/src/loans.rs
@@ -85,6 +85,7 @@
         connect_timeout: Duration::from_millis(200),
         timeout: Duration::from_millis(400),
         max_body: 4096,
+        ..ClientOptions::default()
     }
 }
 
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -148,6 +148,7 @@
         connect_timeout: vm_timeout,
         timeout: vm_timeout,
         max_body: MAX_RESPONSE_BYTES,
+        ..ClientOptions::default()
     };
     let exchange = async {
         let request = client::build_request(Method::Get, "/status")?;
