End the process when a task panics that it cannot work without

What callers would have seen: after a panic in the replication of servers or configurations, the entry VM went on, ready, with its last view for good.

Cause: the executor drops a task that panics, and nobody waits for tasks that run for the life of the process: replication, listeners, the exchange with other entry VMs, timers.

Why it works: such tasks log task_panicked and end the process with exit code 101, as a panic on the main thread does; the platform starts it again with a fresh view. The agents of the product's own interface are such tasks as well.

--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -127,19 +127,18 @@
 fn start_agents(node: &Arc<Node>, timer: &TimerService) {
     use agents::{configuration, digests, health, heartbeats, vm_list};
     let n = || node.clone();
-    runtime::spawn(configuration::run(
+    runtime::spawn_service(configuration::run(
         n(),
         timer.subscribe(CONFIGURATION_CHECK_PERIOD),
-    ))
-    .detach();
-    runtime::spawn(heartbeats::run(n(), timer.subscribe(HEARTBEAT_PERIOD))).detach();
-    runtime::spawn(digests::run(n(), timer.subscribe(STATUS_PERIOD))).detach();
-    runtime::spawn(health::run(n(), timer.subscribe(STATUS_PERIOD))).detach();
-    runtime::spawn(claims::run(n())).detach();
-    runtime::spawn(links::run(n())).detach();
-    runtime::spawn(loans::request_loans(n())).detach();
-    runtime::spawn(loans::maintain(n(), timer.subscribe(loans::PERIOD))).detach();
-    runtime::spawn(vm_list::run(n(), timer.subscribe(STATUS_PERIOD))).detach();
+    ));
+    runtime::spawn_service(heartbeats::run(n(), timer.subscribe(HEARTBEAT_PERIOD)));
+    runtime::spawn_service(digests::run(n(), timer.subscribe(STATUS_PERIOD)));
+    runtime::spawn_service(health::run(n(), timer.subscribe(STATUS_PERIOD)));
+    runtime::spawn_service(claims::run(n()));
+    runtime::spawn_service(links::run(n()));
+    runtime::spawn_service(loans::request_loans(n()));
+    runtime::spawn_service(loans::maintain(n(), timer.subscribe(loans::PERIOD)));
+    runtime::spawn_service(vm_list::run(n(), timer.subscribe(STATUS_PERIOD)));
 }
 
 /// Stops accepting work and waits until all executions have ended and the last ticket has expired.
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -75,14 +75,14 @@
         .change_context_lazy(|| Error::Bind(settings.peers))?;
     let node = Node::new(settings, dialect, dispatcher.clone());
     let timers = TimerService::start(clock);
-    runtime::spawn(dispatcher.clone().receive()).detach();
-    runtime::spawn(dispatcher.tick(timers.clone())).detach();
-    runtime::spawn(close_expired_idle(node.clone(), timers)).detach();
+    runtime::spawn_service(dispatcher.clone().receive());
+    runtime::spawn_service(dispatcher.tick(timers.clone()));
+    runtime::spawn_service(close_expired_idle(node.clone(), timers));
     let cfg = node.settings();
     let callers = bind(cfg.callers).await?;
-    runtime::spawn(callers::serve(node.clone(), callers, Origin::Caller)).detach();
+    runtime::spawn_service(callers::serve(node.clone(), callers, Origin::Caller));
     let peers = bind(cfg.peers).await?;
-    runtime::spawn(callers::serve(node.clone(), peers, Origin::EntryVm)).detach();
+    runtime::spawn_service(callers::serve(node.clone(), peers, Origin::EntryVm));
     let endpoints: [(SocketAddr, endpoints::Handler); 3] = [
         (cfg.readiness, endpoints::readiness),
         (cfg.look_ups, endpoints::look_up),
@@ -90,7 +90,7 @@
     ];
     for (address, handler) in endpoints {
         let listener = bind(address).await?;
-        runtime::spawn(endpoints::serve(node.clone(), listener, handler)).detach();
+        runtime::spawn_service(endpoints::serve(node.clone(), listener, handler));
     }
     Ok(node)
 }
--- a/components/runtime/src/executor.rs
+++ b/components/runtime/src/executor.rs
@@ -1,6 +1,7 @@
 //! Process-wide task executor.
 
 use std::future::{Future, poll_fn};
+use std::panic::AssertUnwindSafe;
 use std::sync::OnceLock;
 use std::task::{Context, Poll};
 use std::thread;
@@ -9,6 +10,11 @@
 use async_executor::{Executor, Task};
 use futures_lite::FutureExt;
 
+use crate::logger;
+
+/// Exit code after a panic, the same as that of a panic on the main thread.
+const EXIT_PANICKED: i32 = 101;
+
 static EXECUTOR: Executor<'static> = Executor::new();
 /// Executor with a thread of its own, so that its tasks do not wait behind requests.
 static CONTROL: Executor<'static> = Executor::new();
@@ -34,7 +40,7 @@
 }
 
 /// Spawns a task that keeps this process up to date, such as replication of configurations, on a
-/// thread that handles no requests. Dropping the handle cancels the task.
+/// thread that handles no requests. Dropping the handle cancels the task; a panic ends the process.
 pub fn spawn_control<T: Send + 'static>(fut: impl Future<Output = T> + Send + 'static) -> Task<T> {
     static STARTED: OnceLock<bool> = OnceLock::new();
     let started = *STARTED.get_or_init(|| {
@@ -45,6 +51,7 @@
         }
         spawned.is_ok()
     });
+    let fut = end_process_on_panic(fut);
     if started {
         CONTROL.spawn(fut)
     } else {
@@ -52,6 +59,25 @@
     }
 }
 
+/// Spawns a task that this process cannot work without, such as a listener. A panic ends the
+/// process.
+pub fn spawn_service(fut: impl Future<Output = ()> + Send + 'static) {
+    EXECUTOR.spawn(end_process_on_panic(fut)).detach();
+}
+
+/// Runs `fut` and ends the process if it panics. The executor would drop the task, and the process
+/// would go on without it.
+async fn end_process_on_panic<T>(fut: impl Future<Output = T>) -> T {
+    match AssertUnwindSafe(fut).catch_unwind().await {
+        Ok(value) => value,
+        Err(_) => {
+            log::error!("event=task_panicked");
+            logger::flush();
+            std::process::exit(EXIT_PANICKED);
+        }
+    }
+}
+
 /// Runs `fut` for at most `limit`; returns `None` on timeout.
 pub async fn timeout<T>(limit: Duration, fut: impl Future<Output = T>) -> Option<T> {
     async { Some(fut.await) }
--- a/components/runtime/src/timer.rs
+++ b/components/runtime/src/timer.rs
@@ -5,7 +5,7 @@
 use async_channel::{Receiver, Sender};
 
 use crate::clock::Clock;
-use crate::executor::spawn;
+use crate::executor::spawn_service;
 
 /// Delay of a tick from which it is logged.
 const LOGGED_DELAY: Duration = Duration::from_millis(200);
@@ -31,7 +31,7 @@
     /// Spawns the timer task on the executor.
     pub fn start(clock: Clock) -> Self {
         let (tx, rx) = async_channel::unbounded();
-        spawn(run(clock, rx)).detach();
+        spawn_service(run(clock, rx));
         TimerService { tx }
     }
 
