Let new connections carry a request while the process stops

What callers saw: a connection that was opened in the second half of the grace period was closed before its request was read, unless the request was there at once.

Cause: from half of the grace period on, idle connections are closed, and a new connection is idle until its first request arrives.

Why it works: a connection is closed once it has been idle for half a second.

--- a/components/gateway/src/callers/session.rs
+++ b/components/gateway/src/callers/session.rs
@@ -27,6 +27,9 @@
 /// Time for which input is read and discarded after the write side is closed. Closing with unread
 /// input would send a reset, by which the caller could lose the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Idle time before which a stopping process does not close a connection; a new one is probably about
+/// to carry a request.
+const MIN_IDLE_AT_STOP: Duration = Duration::from_millis(500);
 /// Time limit for receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -135,6 +138,7 @@
         let Session {
             connection,
             pending,
+            state_since,
             ..
         } = self;
         let idle = pending.is_empty();
@@ -161,10 +165,12 @@
                 None => futures_lite::future::pending().await,
             }
         };
+        let idle_close_at = *state_since + MIN_IDLE_AT_STOP;
         let stop = async {
             if idle && close_deadline.is_some_and(|(_, idle)| idle) {
                 // Nothing is sent; the channel closes when the process stops.
                 let _ = idle_stop.recv().await;
+                runtime::sleep(idle_close_at.saturating_sub(now)).await;
                 return Event::Stop;
             }
             futures_lite::future::pending().await
