--- a/components/runtime/src/executor.rs
+++ b/components/runtime/src/executor.rs
@@ -68,14 +68,12 @@
 /// Runs `fut` and ends the process if it panics. The executor would drop the task, and the process
 /// would go on without it.
 async fn end_process_on_panic<T>(fut: impl Future<Output = T>) -> T {
-    match AssertUnwindSafe(fut).catch_unwind().await {
-        Ok(value) => value,
-        Err(_) => {
-            log::error!("event=task_panicked");
-            logger::flush();
-            std::process::exit(EXIT_PANICKED);
-        }
+    if let Ok(value) = AssertUnwindSafe(fut).catch_unwind().await {
+        return value;
     }
+    log::error!("event=task_panicked");
+    logger::flush();
+    std::process::exit(EXIT_PANICKED);
 }
 
 /// Runs `fut` for at most `limit`; returns `None` on timeout.
