Keep servers in use that only one entry VM does not reach

Cause: each outcome counted for the whole region, whoever reported it.

Evidence: server_that_one_entry_vm_does_not_reach_stays_in_use_for_the_others failed before at the second request.

Why it works: a failure to connect counts for the sender's request alone if another entry VM has had an answer within two seconds and no other one has failed to connect. Two entry VMs that fail make the server back off at once.

--- a/components/dispatch/src/health.rs
+++ b/components/dispatch/src/health.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use config::Incarnation;
 use serde::{Deserialize, Serialize};
 
 /// Failure rate above which a server gets at most one request at a time.
@@ -15,6 +16,9 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(3);
 /// Back-off after another entry VM has reported that the server is leaving.
 const LEAVING_BACKOFF: Duration = Duration::from_secs(2);
+/// Time for which an answer to another entry VM, or its failure to connect, tells whether a server is
+/// down or one entry VM does not reach it.
+const REPORT_WINDOW: Duration = Duration::from_secs(2);
 /// Bounds of the relative latency. The upper bound keeps a slow server in use under load.
 const RELATIVE_LATENCY_BOUNDS: (f64, f64) = (0.5, 8.0);
 
@@ -56,6 +60,10 @@
     unreachable_count: u32,
     /// No requests are sent before this time.
     backoff_until: Duration,
+    /// Last entry VM that got an answer, and when.
+    last_answer: Option<(Incarnation, Duration)>,
+    /// Last entry VM that could not connect, and when.
+    last_unreachable: Option<(Incarnation, Duration)>,
 }
 
 impl Default for Health {
@@ -65,6 +73,8 @@
             relative_latency: 1.0,
             unreachable_count: 0,
             backoff_until: Duration::ZERO,
+            last_answer: None,
+            last_unreachable: None,
         }
     }
 }
@@ -91,10 +101,12 @@
         self.unreachable_count > 0
     }
 
-    /// Records an outcome; `expected` is the service time expected for the request.
-    pub fn record(&mut self, outcome: Outcome, expected: Duration, now: Duration) {
+    /// Records an outcome that the entry VM `by` reports; `expected` is the service time expected
+    /// for the request.
+    pub fn record(&mut self, outcome: Outcome, by: Incarnation, expected: Duration, now: Duration) {
         match outcome {
             Outcome::Answered(latency) => {
+                self.last_answer = Some((by, now));
                 self.unreachable_count = 0;
                 self.record_failure_sample(0.0);
                 let ratio = latency.as_secs_f64() / expected.as_secs_f64().max(0.001);
@@ -103,8 +115,12 @@
             }
             Outcome::Failed | Outcome::Refused => self.record_failure_sample(1.0),
             Outcome::Unreachable => {
-                self.record_failure_sample(1.0);
-                self.back_off(now);
+                let only_for_sender = self.is_reached_by_others(by, now);
+                self.last_unreachable = Some((by, now));
+                if !only_for_sender {
+                    self.record_failure_sample(1.0);
+                    self.back_off(now);
+                }
             }
             Outcome::TimedOut => {
                 self.record_failure_sample(1.0);
@@ -116,6 +132,15 @@
         }
     }
 
+    /// Whether another entry VM than `by` has had an answer lately, and no other one has failed to
+    /// connect.
+    fn is_reached_by_others(&self, by: Incarnation, now: Duration) -> bool {
+        let by_other = |report: Option<(Incarnation, Duration)>| {
+            report.is_some_and(|(vm, at)| vm != by && at + REPORT_WINDOW > now)
+        };
+        by_other(self.last_answer) && !by_other(self.last_unreachable)
+    }
+
     fn record_slow(&mut self) {
         self.relative_latency +=
             LATENCY_WEIGHT * (RELATIVE_LATENCY_BOUNDS.1 - self.relative_latency);
--- a/components/dispatch/src/pool.rs
+++ b/components/dispatch/src/pool.rs
@@ -11,6 +11,7 @@
 mod types;
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use config::{DomainId, Incarnation, RegionId, ServerId};
@@ -230,7 +231,7 @@
                 server.mark_cold(now, &self.cfg);
             }
             let was_unreachable = server.health.is_unreachable();
-            server.health.record(outcome, expected, now);
+            server.health.record(outcome, id.0, expected, now);
             if let Some(load) = load {
                 server.record_load(load, now);
             }
@@ -302,6 +303,15 @@
         self.servers.contains_key(server)
     }
 
+    /// Returns the addresses of the servers that accept requests.
+    pub fn server_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        let servers = self
+            .servers
+            .values()
+            .filter(|s| s.server.ready && !s.evacuated);
+        servers.map(|s| s.server.address)
+    }
+
     /// Allows a request that was withdrawn from this pool to be submitted again.
     pub fn forget_ended(&mut self, id: RequestId) {
         self.ended.retain(|&e| e != id);
--- a/components/dispatch/tests/pool/decisions.rs
+++ b/components/dispatch/tests/pool/decisions.rs
@@ -373,3 +373,29 @@
         prop_assert_eq!(pool.in_flight("a") + pool.in_flight("b"), 0);
     }
 }
+
+/// Guards against an entry VM that is cut off from the servers and takes them away from the others
+/// of its region, and against a server that is down and stays in use when two report it.
+#[test]
+fn server_that_one_entry_vm_does_not_reach_stays_in_use_for_the_others() {
+    const OTHERS: [u64; 2] = [8, 9];
+    let from = |incarnation, number| dispatch::AdmissionRequest {
+        id: (incarnation, number),
+        ..request(number)
+    };
+    let mut pool = pool(&[server("s1", 3)], PoolSettings::default());
+    let mut end = |incarnation, number, outcome| {
+        let now = ms(100 + number);
+        let decision = decide(&mut pool, from(incarnation, number), now);
+        let granted = matches!(decision, Some(Decision::Grant(_)));
+        pool.end((incarnation, number), outcome, None, now);
+        granted
+    };
+    assert!(end(OTHERS[0], 0, Outcome::Answered(ms(50))));
+    for number in 1..20 {
+        assert!(end(REQUESTER, number, Outcome::Unreachable), "{number}");
+    }
+    assert!(end(OTHERS[0], 20, Outcome::Answered(ms(50))));
+    assert!(end(OTHERS[1], 21, Outcome::Unreachable), "as the first one");
+    assert!(!end(OTHERS[0], 22, Outcome::Unused), "two do not reach it");
+}
