Pass requests on while no server can be reached

Cause: nothing told a cut of this entry VM from servers that are down, and there was no way to serve but through its own connections.

Requests are passed on to an entry VM of the same region, before anything was written, at most once; the receiver does not pass them on. Heartbeats tell the others, for look-ups and the choice of the receiver. Other regions get no free slots reported.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 mod members;
 mod pool;
 mod queue;
+mod reachability;
 mod routes;
 mod server;
 mod settings;
@@ -20,6 +21,7 @@
 pub use pool::{
     AdmissionRequest, Decision, Grant, Placement, Pool, PoolSnapshot, RefuseReason, RequestId,
 };
+pub use reachability::Reachability;
 pub use routes::{
     ClientLimits, HostRoutes, Route, RouteMatch, RouteTable, Service, WeightedService,
 };
--- /dev/null
+++ b/components/dispatch/src/reachability.rs
@@ -0,0 +1,51 @@
+//! Whether this entry VM reaches the servers, as its own attempts show.
+
+use std::time::Duration;
+
+use config::ServerId;
+use smallvec::SmallVec;
+
+/// Failed attempts, without an answer of any server between them, from which this entry VM counts as
+/// cut off.
+const MIN_FAILURES: u32 = 4;
+/// Servers at which they must have failed; one alone is more likely to be down itself.
+const MIN_SERVERS: usize = 2;
+
+/// Attempts since the last answer of a server.
+#[derive(Clone, Debug, Default)]
+pub struct Reachability {
+    failures: u32,
+    /// Servers at which attempts failed, up to `MIN_SERVERS`.
+    failed_servers: SmallVec<[ServerId; MIN_SERVERS]>,
+    cut_off_since: Option<Duration>,
+}
+
+impl Reachability {
+    /// Whether no server can be reached.
+    pub fn is_cut_off(&self) -> bool {
+        self.cut_off_since.is_some()
+    }
+
+    /// Records that a server answered or accepted a connection; returns since when this entry VM was cut off, if it was.
+    pub fn record_contact(&mut self) -> Option<Duration> {
+        self.failures = 0;
+        self.failed_servers.clear();
+        self.cut_off_since.take()
+    }
+
+    /// Records an attempt that did not reach its server; returns whether this entry VM counts as cut
+    /// off from now on.
+    pub fn record_failure(&mut self, server: &str, now: Duration) -> bool {
+        self.failures = self.failures.saturating_add(1);
+        let known = self.failed_servers.iter().any(|s| &**s == server);
+        if !known && self.failed_servers.len() < MIN_SERVERS {
+            self.failed_servers.push(server.into());
+        }
+        let enough = self.failures >= MIN_FAILURES && self.failed_servers.len() >= MIN_SERVERS;
+        if !enough || self.is_cut_off() {
+            return false;
+        }
+        self.cut_off_since = Some(now);
+        true
+    }
+}
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -7,6 +7,7 @@
 mod ownership;
 mod periodic;
 mod progress;
+mod reach;
 mod slot;
 mod timing;
 
@@ -153,6 +154,48 @@
         inner.members.available(now).into_iter().cloned().collect()
     }
 
+    /// Returns the available members that reach the servers; all available ones if none does.
+    pub fn reaching_members(&self) -> Vec<Member> {
+        let inner = self.lock();
+        let now = self.now();
+        let mut members = inner.reaching_members(now);
+        if members.is_empty() {
+            members = inner.members.available(now);
+        }
+        members.into_iter().cloned().collect()
+    }
+
+    /// Records that a server answered or accepted a connection.
+    pub fn record_server_contact(&self) {
+        self.with_state(Inner::record_server_contact);
+    }
+
+    /// Records an attempt that did not reach its server; returns whether this entry VM counts as cut
+    /// off from the servers from now on.
+    pub fn record_server_failure(&self, server: &str) -> bool {
+        self.with_state(|inner, now| inner.record_server_failure(server, now))
+    }
+
+    /// Whether this entry VM is cut off from the servers.
+    pub fn is_cut_off(&self) -> bool {
+        self.lock().reachability.is_cut_off()
+    }
+
+    /// Returns the address of a random server that is in use.
+    pub fn draw_server(&self) -> Option<SocketAddr> {
+        let inner = self.lock();
+        let servers = inner
+            .pools
+            .values()
+            .flat_map(dispatch::Pool::server_addresses);
+        fastrand::choice(servers.collect::<Vec<_>>())
+    }
+
+    /// Returns the peer address of another entry VM of the region that reaches the servers.
+    pub fn draw_relay(&self) -> Option<SocketAddr> {
+        self.lock().draw_relay(self.now())
+    }
+
     /// Returns the peer addresses of the entry VMs in this failure domain that have been heard from
     /// within `max_silence`, in an order on which all of them agree. This entry VM is `None`.
     pub fn ranked_domain_peers(&self, max_silence: Duration) -> Vec<Option<SocketAddr>> {
--- a/components/gateway/src/dispatcher/heartbeats.rs
+++ b/components/gateway/src/dispatcher/heartbeats.rs
@@ -54,6 +54,8 @@
             self.expire_members(now);
             self.send_alive(now, |m, region, silent| *m.region == *region && !silent);
             self.send_last_changes();
+            self.expire_cut_off_members(now);
+            self.announce_cut_off();
         }
         if is_due(
             &mut self.due.other_regions,
--- a/components/gateway/src/dispatcher/inbox.rs
+++ b/components/gateway/src/dispatcher/inbox.rs
@@ -72,6 +72,7 @@
             }
             Message::Capacities(capacities) => self.receive_capacities(capacities, now),
             Message::LastChanges(changes) => self.receive_last_changes(changes, from, now),
+            Message::CutOff { incarnation } => self.receive_cut_off(incarnation, now),
             Message::PoolSnapshots { region, pools, .. } => self.receive_pools(&region, pools, now),
         }
     }
--- a/components/gateway/src/dispatcher/inner.rs
+++ b/components/gateway/src/dispatcher/inner.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use config::{DomainId, EntryVmId, RegionId, ServiceId};
+use config::{DomainId, EntryVmId, Incarnation, RegionId, ServiceId};
 use dispatch::{
     AdmissionRequest, Decision, Grant, LoadReport, Member, MemberList, MemberState, Outcome, Pool,
-    PoolSettings, RequestId, Server,
+    PoolSettings, Reachability, RequestId, Server,
 };
 
 use super::SlotRequest;
@@ -73,6 +73,10 @@
     /// Peer addresses of the entry VMs that have requested slots, by incarnation.
     pub requester_addresses: HashMap<u64, SocketAddr>,
     pub progress: Progress,
+    /// Whether this entry VM reaches the servers.
+    pub reachability: Reachability,
+    /// Other entry VMs that are cut off from the servers, and when they last said so.
+    pub cut_off_members: BTreeMap<Incarnation, Duration>,
     pub due: DueTimes,
     pub next_snapshot_at: Duration,
     /// Members removed after a long silence that [`super::Dispatcher::take_expired_members`] has
@@ -100,6 +104,8 @@
             round_trips: BTreeMap::new(),
             requester_addresses: HashMap::new(),
             progress: Progress::default(),
+            reachability: Reachability::default(),
+            cut_off_members: BTreeMap::new(),
             due: DueTimes::default(),
             next_snapshot_at: Duration::ZERO,
             expired_members: Vec::new(),
--- a/components/gateway/src/dispatcher/periodic.rs
+++ b/components/gateway/src/dispatcher/periodic.rs
@@ -40,7 +40,11 @@
             if owner.is_none_or(|o| o.id != own.id) {
                 continue;
             }
-            let snapshot = pool.snapshot(now);
+            let mut snapshot = pool.snapshot(now);
+            if self.reachability.is_cut_off() {
+                // Requests that other regions forward would arrive here.
+                snapshot.free = 0;
+            }
             for region in regions.iter().filter(|r| **r != own.region) {
                 if let Some(to) = self.members.pool_owner(service, region, now) {
                     let pools = outgoing.entry(to.peers).or_default();
--- a/components/gateway/src/endpoints.rs
+++ b/components/gateway/src/endpoints.rs
@@ -116,10 +116,10 @@
     head.target.split('?').next().unwrap_or("")
 }
 
-/// Selects the available entry VMs in the caller's failure domain, else in its region, else in all
+/// Selects the available entry VMs that reach the servers in the caller's failure domain, else in its region, else in all
 /// regions that every route of the host allows. The order is random.
 fn select_addresses(node: &Node, query: &LookUpQuery) -> Vec<SocketAddr> {
-    let available = node.dispatcher.available_members();
+    let available = node.dispatcher.reaching_members();
     let allowed: Vec<&Member> = available
         .iter()
         .filter(|m| m.region == query.region || all_routes_allow(node, &query.host, &m.region))
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -47,6 +47,10 @@
 const MIN_STOP_FRACTION: f64 = 0.6;
 /// Time before the end of the grace period at which the process exits even if requests are open.
 const EXIT_MARGIN: Duration = Duration::from_millis(350);
+/// Time between attempts to reach a server while cut off from all of them.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time limit of such an attempt, as for a connection for a request.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time between checks for open requests during a graceful stop.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -77,7 +81,8 @@
     let timers = TimerService::start(clock);
     runtime::spawn_service(dispatcher.clone().receive());
     runtime::spawn_service(dispatcher.tick(timers.clone()));
-    runtime::spawn_service(close_expired_idle(node.clone(), timers));
+    runtime::spawn_service(close_expired_idle(node.clone(), timers.clone()));
+    runtime::spawn_service(probe_while_cut_off(node.clone(), timers));
     let cfg = node.settings();
     let callers = bind(cfg.callers).await?;
     runtime::spawn_service(callers::serve(node.clone(), callers, Origin::Caller));
@@ -109,6 +114,24 @@
     }
 }
 
+/// While this entry VM is cut off from the servers, opens a connection to one of them now and then, to
+/// notice the end of the cut. Requests are passed on meanwhile and do not show it.
+async fn probe_while_cut_off(node: Arc<Node>, timers: TimerService) {
+    let ticks = timers.subscribe(PROBE_INTERVAL);
+    while ticks.recv().await.is_ok() {
+        if !node.dispatcher.is_cut_off() {
+            continue;
+        }
+        let Some(address) = node.dispatcher.draw_server() else {
+            continue;
+        };
+        if let Ok(connection) = http::Connection::open(address, PROBE_TIMEOUT).await {
+            node.dispatcher.record_server_contact();
+            node.idle.put(address, connection, None, node.now());
+        }
+    }
+}
+
 /// Serves until `stop` closes, then stops gracefully: look-ups no longer return this entry VM, open
 /// requests are answered, and the function returns before the grace period ends.
 pub async fn run_until(node: &Node, stop: Receiver<()>) {
--- a/components/gateway/src/message.rs
+++ b/components/gateway/src/message.rs
@@ -101,6 +101,12 @@
     /// The last change of each table of the platform that the sender has applied. Versions without
     /// it ignore the message.
     LastChanges(Vec<LastChange>),
+    /// The sender reaches no server at the moment; sent with its heartbeats. Versions without it
+    /// ignore the message.
+    CutOff {
+        /// Incarnation of the sender.
+        incarnation: Incarnation,
+    },
 }
 
 /// Name of a table of the platform and the transaction of a change.
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -5,6 +5,7 @@
 mod forward;
 mod trace;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,6 +41,9 @@
 const MIN_SENT_DEADLINE: Duration = Duration::from_millis(1);
 /// Failed connection attempts after which a request is refused.
 const MAX_CONNECT_FAILURES: u32 = 4;
+/// Failed connection attempts after which a request is passed on to another entry VM, if there is one
+/// that reaches the servers.
+const MAX_CONNECT_FAILURES_HERE: u32 = 2;
 
 /// Sender of a request. The variant names are written to the request log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -273,6 +277,16 @@
     if !plan.route.allows_region(&node.settings().region) {
         return admit_in_other_region(node, req, plan, history);
     }
+    if req.origin == Origin::EntryVm && node.dispatcher.is_cut_off() {
+        // The sender learns of the cut with the next heartbeat.
+        return Admission::Refused {
+            reason: RefuseReason::NoServers,
+            retry_after: DEFAULT_RETRY_AFTER,
+        };
+    }
+    if let Some(relay) = draw_relay(node, req, history) {
+        return Admission::Forward(node.settings().region.clone(), relay);
+    }
     let request = SlotRequest {
         retry: history.sent_attempts > 0,
         excluded_servers: history.excluded_servers.clone(),
@@ -282,6 +296,21 @@
     node.dispatcher.admit(request).await
 }
 
+/// Returns the entry VM of this region that a request is passed on to, because this one does not
+/// reach the servers. Requests are passed on at most once, and only before they were written.
+fn draw_relay(node: &Node, req: &Request, history: &AttemptHistory) -> Option<SocketAddr> {
+    if req.origin == Origin::EntryVm || history.forwarded || history.sent_attempts > 0 {
+        return None;
+    }
+    let must_pass_on =
+        history.connect_failures >= MAX_CONNECT_FAILURES_HERE || node.dispatcher.is_cut_off();
+    let relay = must_pass_on.then(|| node.dispatcher.draw_relay()).flatten();
+    if relay.is_some() {
+        metrics::counter!("gateway_passed_on_total").increment(1);
+    }
+    relay
+}
+
 /// Builds the request for the slot of a first attempt in this region.
 fn slot_request(plan: &Plan) -> SlotRequest {
     SlotRequest {
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -20,7 +20,7 @@
 use crate::codes::Code;
 use crate::dispatcher::{Admission, GrantCheck, Slot, SlotRequest};
 use crate::exchange::{Failure, OutgoingRequest, ReceivedResponse, connect, exchange};
-use crate::http::ResponseHead;
+use crate::http::{Error, ResponseHead};
 use crate::node::Node;
 
 /// Time limit for opening a connection within a region. It does not cover the retransmission of a
@@ -244,6 +244,7 @@
     let names = &node.dialect.headers;
     let server = slot.grant.server.clone();
     let may_retry = plan.may_retry(history);
+    record_reachability(node, &server, result.as_ref());
     match result {
         Some(Ok(received)) => {
             let load = received.head.get(names.load);
@@ -288,6 +289,24 @@
     }
 }
 
+/// Records whether the attempt reached its server. When this entry VM is cut off, its idle connections
+/// to servers are closed: they may hang.
+fn record_reachability(
+    node: &Node,
+    server: &str,
+    result: Option<&Result<ReceivedResponse, Failure>>,
+) {
+    match result {
+        Some(Ok(_)) => node.dispatcher.record_server_contact(),
+        Some(Err(Failure::Unreachable(_) | Failure::Lost(Error::Io(_) | Error::Closed)))
+            if node.dispatcher.record_server_failure(server) =>
+        {
+            node.idle.clear();
+        }
+        _ => {}
+    }
+}
+
 /// Returns the time after which a hedge is sent: `slow`, the server's own limit, but at least
 /// [`MIN_HEDGE_DELAY`]. Returns `remaining`, which means no hedge, if no retry is allowed or too
 /// little time would remain for it.
--- a/components/gateway/src/relay/forward.rs
+++ b/components/gateway/src/relay/forward.rs
@@ -1,4 +1,5 @@
-//! Forwarding of requests to an entry VM of another region.
+//! Forwarding of requests to entry VMs of other regions, and of this one while it does not reach the
+//! servers itself.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -49,7 +50,8 @@
                 },
                 elapsed,
             );
-            if not_run && history.sent_attempts == 0 {
+            let same_region = *region == *node.settings().region;
+            if not_run && history.sent_attempts == 0 && !same_region {
                 // This region may have a slot by now.
                 return Step::Retry;
             }
--- a/components/gateway/tests/relay/forward.rs
+++ b/components/gateway/tests/relay/forward.rs
@@ -23,26 +23,37 @@
     },
 }
 
-/// An entry VM of another region: it announces itself to the one under test, and a scripted server
-/// takes its forwarded requests.
-struct RemoteEntryVm {
+/// Another entry VM: it announces itself to the one under test, and a scripted server takes its
+/// forwarded requests.
+pub struct RemoteEntryVm {
     stop: Arc<AtomicBool>,
 }
 
 impl RemoteEntryVm {
-    /// Announces to `entry_vm` an entry VM at the address of `forward_target` with free slots.
+    /// Announces to `entry_vm` an entry VM of another region at the address of `forward_target`, with
+    /// free slots.
     fn start(entry_vm: &TestEntryVm, forward_target: &TestServer) -> Self {
+        Self::start_in("west", "alpen", entry_vm, forward_target)
+    }
+
+    /// Announces an entry VM of the given failure domain and region. It owns no pools.
+    pub fn start_in(
+        domain: &str,
+        region: &str,
+        entry_vm: &TestEntryVm,
+        forward_target: &TestServer,
+    ) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let socket = UdpSocket::bind(forward_target.address).unwrap();
         let member = Member {
             id: "far".into(),
             incarnation: 77,
-            domain: "west".into(),
-            region: "alpen".into(),
+            domain: domain.into(),
+            region: region.into(),
             callers: forward_target.address,
             peers: forward_target.address,
             state: MemberState::Ready,
-            platform_connected: true,
+            platform_connected: region != "donau",
         };
         let pools = Datagram::Pools {
             region: "alpen".into(),
@@ -57,8 +68,12 @@
                 },
             )],
         };
-        let datagrams = [Datagram::Heartbeat(member), pools];
-        let datagrams = datagrams.map(|d| rmp_serde::to_vec(&d).unwrap());
+        let mut datagrams = vec![Datagram::Heartbeat(member)];
+        if region == "alpen" {
+            datagrams.push(pools);
+        }
+        let datagrams = datagrams.iter().map(|d| rmp_serde::to_vec(d).unwrap());
+        let datagrams: Vec<Vec<u8>> = datagrams.collect();
         let (destination, stopped) = (entry_vm.node.own().peers, stop.clone());
         thread::spawn(move || {
             while !stopped.load(Ordering::Relaxed) {
--- a/components/gateway/tests/relay/harness.rs
+++ b/components/gateway/tests/relay/harness.rs
@@ -59,8 +59,11 @@
     listener: Option<Arc<TcpListener>>,
     /// Accepted connections.
     streams: Arc<Mutex<Vec<TcpStream>>>,
+    script: Mutex<Option<Arc<Script>>>,
 }
 
+type Script = dyn Fn(usize, &str) -> Vec<ServerAction> + Send + Sync;
+
 impl TestServer {
     /// Starts a server; `script` gets the number of the request, counted from 0, and its id.
     pub fn start(
@@ -78,9 +81,51 @@
             cancelled: Arc::default(),
             listener: None,
             streams: Arc::default(),
+            script: Mutex::default(),
+        }
+    }
+
+    /// Serves new connections until they are refused.
+    fn accept(&self) {
+        let listener = self.listener.clone().expect("listener");
+        let script = self.script.lock().expect("lock script").clone();
+        let script = script.expect("script");
+        let (requests, cancelled) = (self.requests.clone(), self.cancelled.clone());
+        let streams = self.streams.clone();
+        thread::spawn(move || {
+            while let Ok((stream, _)) = listener.accept() {
+                let copy = stream.try_clone().expect("clone stream");
+                streams.lock().expect("lock streams").push(copy);
+                let (script, requests) = (script.clone(), requests.clone());
+                let cancelled = cancelled.clone();
+                thread::spawn(move || serve(stream, &*script, &requests, &cancelled));
+            }
+        });
+    }
+
+    /// Refuses new connections; open ones go on.
+    pub fn refuse_new(&self) {
+        let listener = self.listener.as_ref().expect("listener");
+        rustix::net::shutdown(listener, rustix::net::Shutdown::Both).expect("shut listener down");
+    }
+
+    /// Resets all open connections.
+    pub fn reset_open(&self) {
+        for stream in self.streams.lock().expect("lock streams").drain(..) {
+            let linger = Some(Duration::ZERO);
+            // The peer may have closed it.
+            let _ = rustix::net::sockopt::set_socket_linger(&stream, linger);
+            let _ = stream.shutdown(Shutdown::Both);
         }
     }
 
+    /// Accepts connections again.
+    pub fn accept_again(&self) {
+        let listener = self.listener.as_ref().expect("listener");
+        rustix::net::listen(listener, 128).expect("listen");
+        self.accept();
+    }
+
     /// Serves the connections of a listener, as [`TestServer::start`] does.
     pub fn serve(
         listener: TcpListener,
@@ -91,18 +136,8 @@
             listener: Some(listener.clone()),
             ..Self::absent(listener.local_addr().expect("listener address"))
         };
-        let script = Arc::new(script);
-        let (requests, cancelled) = (server.requests.clone(), server.cancelled.clone());
-        let streams = server.streams.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let copy = stream.try_clone().expect("clone stream");
-                streams.lock().expect("lock streams").push(copy);
-                let (script, requests) = (script.clone(), requests.clone());
-                let cancelled = cancelled.clone();
-                thread::spawn(move || serve(stream, &*script, &requests, &cancelled));
-            }
-        });
+        *server.script.lock().expect("lock script") = Some(Arc::new(script));
+        server.accept();
         server
     }
 
--- a/components/gateway/tests/relay/main.rs
+++ b/components/gateway/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod cut_off;
 mod endless_responses;
 mod faulty_servers;
 mod forward;
