--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -8,6 +8,7 @@
 mod periodic;
 mod progress;
 mod reach;
+mod servers;
 mod slot;
 mod timing;
 
--- a/components/gateway/src/dispatcher/inner.rs
+++ b/components/gateway/src/dispatcher/inner.rs
@@ -8,7 +8,7 @@
 use config::{DomainId, EntryVmId, Incarnation, RegionId, ServiceId};
 use dispatch::{
     AdmissionRequest, Decision, Grant, LoadReport, Member, MemberList, MemberState, Outcome, Pool,
-    PoolSettings, Reachability, RequestId, Server,
+    PoolSettings, Reachability, RequestId,
 };
 
 use super::SlotRequest;
@@ -40,7 +40,7 @@
     pub grant: Grant,
     /// Pool owner that counts the slot as in use; `None` for the own pool.
     pub owner: Option<EntryVmId>,
-    granted_at: Duration,
+    pub granted_at: Duration,
     /// Deadline of the request.
     pub expires_at: Duration,
 }
@@ -62,7 +62,7 @@
     pub domains: BTreeMap<DomainId, RegionId>,
     pub seeds: Vec<SocketAddr>,
     pub pools: BTreeMap<ServiceId, Pool>,
-    evacuated: Vec<DomainId>,
+    pub evacuated: Vec<DomainId>,
     next_number: u64,
     pub pending: HashMap<u64, PendingRequest>,
     pub active_slots: HashMap<u64, ActiveSlot>,
@@ -145,55 +145,6 @@
             .or_insert_with(|| Pool::new(PoolSettings::default()))
     }
 
-    pub fn put_server(&mut self, server: Server, now: Duration) {
-        if !server.ready {
-            self.log_open_requests(&server.id, now);
-        }
-        let in_own_region = self.domains.get(&server.domain) == Some(&self.members.own.region);
-        for (service, pool) in &mut self.pools {
-            if !in_own_region || *service != server.service {
-                pool.remove_server(&server.id);
-            }
-        }
-        if in_own_region {
-            let evacuated = self.evacuated.clone();
-            let pool = self.pool(&server.service.clone());
-            pool.upsert_server(server, now);
-            pool.evacuate(&evacuated, now);
-        }
-        self.schedule_all(now);
-    }
-
-    pub fn remove_server(&mut self, id: &str, now: Duration) {
-        self.log_open_requests(id, now);
-        for pool in self.pools.values_mut() {
-            pool.remove_server(id);
-        }
-    }
-
-    /// Logs the requests of this entry VM that are open at a server when its stop becomes known.
-    fn log_open_requests(&self, server: &str, now: Duration) {
-        let open = self
-            .active_slots
-            .values()
-            .filter(|s| &*s.grant.server == server);
-        let ages = open.map(|s| now.saturating_sub(s.granted_at));
-        let (count, oldest) = ages.fold((0, Duration::ZERO), |(n, max), age| (n + 1, max.max(age)));
-        if count > 0 {
-            log::info!(
-                "event=requests_open_at_stop server={server} open={count} oldest_ms={}",
-                oldest.as_millis()
-            );
-        }
-    }
-
-    pub fn evacuate(&mut self, domains: Vec<DomainId>, now: Duration) {
-        for pool in self.pools.values_mut() {
-            pool.evacuate(&domains, now);
-        }
-        self.evacuated = domains;
-    }
-
     pub fn add_member(&mut self, member: Member, now: Duration) {
         let to = member.peers;
         if self.members.add(member, now) {
