--- a/components/config/tests/encode.rs
+++ b/components/config/tests/encode.rs
@@ -153,3 +153,28 @@
     zero.rules.retry_budget = 0.0;
     assert_eq!(encode(&negative), encode(&zero));
 }
+
+/// Guards against a stored configuration that ends the process or stops its replication: nested
+/// deeply, with numbers too large, or with ports out of range.
+#[test]
+fn odd_configurations_are_rejected() {
+    let encoded = String::from_utf8(encode(&example("notensatz"))).unwrap();
+    let end = |from: &str| encoded.find(from).unwrap() + from.len();
+    let slots = end("\"slots\":");
+    let port = end("\"address\":\"") + encoded[end("\"address\":\"")..].find(':').unwrap() + 1;
+    let deep = "[".repeat(200_000) + &"]".repeat(200_000);
+    for (at, value) in [
+        (slots, deep.as_str()),
+        (slots, "18446744073709551616"),
+        (slots, "1e400"),
+        (slots, "1e30"),
+        (port, "65536"),
+        (port, "18446744073709551616"),
+        (port, "-1"),
+    ] {
+        let digits = encoded[at..].find(|c: char| !c.is_ascii_digit()).unwrap();
+        let text = format!("{}{value}{}", &encoded[..at], &encoded[at + digits..]);
+        let name = &value[..value.len().min(30)];
+        assert!(parse_configuration(text.as_bytes()).is_err(), "{name}");
+    }
+}
