Count opened connections instead of answers as reaching the servers

Cause: answers on connections that live on kept the entry VM from counting as cut off, while the servers were in back-off and the pool refused the rest.

Why it works: only a connection that could be opened shows that servers are reached. While cut off, no request needs the old connections. For the same reason two cut-off entry VMs no longer take a server away from a third that has answers of it: an answer after the other's failure counts.

--- a/components/dispatch/src/health.rs
+++ b/components/dispatch/src/health.rs
@@ -132,13 +132,16 @@
         }
     }
 
-    /// Whether another entry VM than `by` has had an answer lately, and no other one has failed to
+    /// Whether another entry VM than `by` has had an answer lately, and after any other one failed to
     /// connect.
     fn is_reached_by_others(&self, by: Incarnation, now: Duration) -> bool {
-        let by_other = |report: Option<(Incarnation, Duration)>| {
-            report.is_some_and(|(vm, at)| vm != by && at + REPORT_WINDOW > now)
+        let of_other = |report: Option<(Incarnation, Duration)>| {
+            let (_, at) = report.filter(|(vm, at)| *vm != by && *at + REPORT_WINDOW > now)?;
+            Some(at)
         };
-        by_other(self.last_answer) && !by_other(self.last_unreachable)
+        of_other(self.last_answer).is_some_and(|answer| {
+            of_other(self.last_unreachable).is_none_or(|failure| failure < answer)
+        })
     }
 
     fn record_slow(&mut self) {
--- a/components/dispatch/src/reachability.rs
+++ b/components/dispatch/src/reachability.rs
@@ -5,13 +5,14 @@
 use config::ServerId;
 use smallvec::SmallVec;
 
-/// Failed attempts, without an answer of any server between them, from which this entry VM counts as
-/// cut off.
+/// Failed attempts, without a connection that could be opened between them, from which this entry VM
+/// counts as cut off.
 const MIN_FAILURES: u32 = 4;
 /// Servers at which they must have failed; one alone is more likely to be down itself.
 const MIN_SERVERS: usize = 2;
 
-/// Attempts since the last answer of a server.
+/// Failed attempts since a connection to a server was last opened. Answers on connections that were
+/// opened before say nothing: a cut may spare them.
 #[derive(Clone, Debug, Default)]
 pub struct Reachability {
     failures: u32,
@@ -26,7 +27,7 @@
         self.cut_off_since.is_some()
     }
 
-    /// Records that a server answered or accepted a connection; returns since when this entry VM was cut off, if it was.
+    /// Records that a connection to a server was opened; returns since when this entry VM was cut off, if it was.
     pub fn record_contact(&mut self) -> Option<Duration> {
         self.failures = 0;
         self.failed_servers.clear();
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -166,15 +166,14 @@
         members.into_iter().cloned().collect()
     }
 
-    /// Records that a server answered or accepted a connection.
+    /// Records that a connection to a server was opened.
     pub fn record_server_contact(&self) {
         self.with_state(Inner::record_server_contact);
     }
 
-    /// Records an attempt that did not reach its server; returns whether this entry VM counts as cut
-    /// off from the servers from now on.
-    pub fn record_server_failure(&self, server: &str) -> bool {
-        self.with_state(|inner, now| inner.record_server_failure(server, now))
+    /// Records an attempt that did not reach its server.
+    pub fn record_server_failure(&self, server: &str) {
+        self.with_state(|inner, now| inner.record_server_failure(server, now));
     }
 
     /// Whether this entry VM is cut off from the servers.
--- a/components/gateway/src/dispatcher/reach.rs
+++ b/components/gateway/src/dispatcher/reach.rs
@@ -13,7 +13,7 @@
 const CUT_OFF_LIFETIME: Duration = Duration::from_millis(850);
 
 impl Inner {
-    /// Records that a server answered or accepted a connection.
+    /// Records that a connection to a server was opened.
     pub fn record_server_contact(&mut self, now: Duration) {
         if let Some(since) = self.reachability.record_contact() {
             metrics::gauge!("gateway_cut_off").set(0.0);
@@ -24,19 +24,17 @@
         }
     }
 
-    /// Records an attempt that did not reach its server; returns whether this entry VM counts as cut
-    /// off from now on.
-    pub fn record_server_failure(&mut self, server: &str, now: Duration) -> bool {
-        let cut_off = self.reachability.record_failure(server, now);
-        if cut_off {
-            metrics::gauge!("gateway_cut_off").set(1.0);
-            log::warn!(
-                "event=cut_off last_server={server} others_reaching={}",
-                self.reaching_members(now).len()
-            );
-            self.announce_cut_off();
+    /// Records an attempt that did not reach its server.
+    pub fn record_server_failure(&mut self, server: &str, now: Duration) {
+        if !self.reachability.record_failure(server, now) {
+            return;
         }
-        cut_off
+        metrics::gauge!("gateway_cut_off").set(1.0);
+        log::warn!(
+            "event=cut_off last_server={server} others_reaching={}",
+            self.reaching_members(now).len()
+        );
+        self.announce_cut_off();
     }
 
     /// Tells the entry VMs of the region that this one is cut off, if it is.
--- a/components/gateway/src/http/connection.rs
+++ b/components/gateway/src/http/connection.rs
@@ -30,6 +30,8 @@
     budget: YieldBudget,
     /// When a request was written whose response is not complete.
     request_since: Option<Instant>,
+    /// Whether no request was written yet.
+    new: bool,
 }
 
 impl Connection {
@@ -48,6 +50,7 @@
             needs_more: false,
             budget: YieldBudget::default(),
             request_since: None,
+            new: true,
         }
     }
 
@@ -62,6 +65,12 @@
     /// Records that a request is about to be written.
     pub fn begin_request(&mut self) {
         self.request_since = Some(Instant::now());
+        self.new = false;
+    }
+
+    /// Whether no request was written to the connection yet.
+    pub fn is_new(&self) -> bool {
+        self.new
     }
 
     /// Records that the response to the request has arrived.
--- a/components/gateway/src/idle.rs
+++ b/components/gateway/src/idle.rs
@@ -76,11 +76,6 @@
         });
     }
 
-    /// Closes all connections.
-    pub fn clear(&self) {
-        self.lock().clear();
-    }
-
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
         self.by_address
             .lock()
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -205,6 +205,9 @@
 ) -> Result<ReceivedResponse, Failure> {
     let limit = CONNECT_TIMEOUT.min(plan.remaining(node));
     let connection = connect(address, limit, plan.max_idle(), &node.idle, node.now()).await?;
+    if connection.is_new() {
+        node.dispatcher.record_server_contact();
+    }
     let allowed = grant.allows_sending().await;
     let remaining = plan.remaining(node);
     if !allowed || remaining < MIN_SENT_DEADLINE {
@@ -244,7 +247,11 @@
     let names = &node.dialect.headers;
     let server = slot.grant.server.clone();
     let may_retry = plan.may_retry(history);
-    record_reachability(node, &server, result.as_ref());
+    if let Some(Err(Failure::Unreachable(_) | Failure::Lost(Error::Io(_) | Error::Closed))) =
+        &result
+    {
+        node.dispatcher.record_server_failure(&server);
+    }
     match result {
         Some(Ok(received)) => {
             let load = received.head.get(names.load);
@@ -289,24 +296,6 @@
     }
 }
 
-/// Records whether the attempt reached its server. When this entry VM is cut off, its idle connections
-/// to servers are closed: they may hang.
-fn record_reachability(
-    node: &Node,
-    server: &str,
-    result: Option<&Result<ReceivedResponse, Failure>>,
-) {
-    match result {
-        Some(Ok(_)) => node.dispatcher.record_server_contact(),
-        Some(Err(Failure::Unreachable(_) | Failure::Lost(Error::Io(_) | Error::Closed)))
-            if node.dispatcher.record_server_failure(server) =>
-        {
-            node.idle.clear();
-        }
-        _ => {}
-    }
-}
-
 /// Returns the time after which a hedge is sent: `slow`, the server's own limit, but at least
 /// [`MIN_HEDGE_DELAY`]. Returns `remaining`, which means no hedge, if no retry is allowed or too
 /// little time would remain for it.
--- a/components/gateway/tests/relay/cut_off.rs
+++ b/components/gateway/tests/relay/cut_off.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::io::Write;
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -145,6 +145,39 @@
     requests_are_passed_on(Cut::RefuseNew);
 }
 
+/// Returns the answer to a look-up.
+fn look_up(entry_vm: &TestEntryVm) -> String {
+    let mut stream = TcpStream::connect(entry_vm.look_ups).unwrap();
+    let request = b"GET /look-up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    stream.write_all(request).unwrap();
+    read_response(&mut stream).unwrap().2
+}
+
+/// Guards against requests that are passed on to an entry VM that is cut off as well, and against
+/// look-ups that name entry VMs that are cut off while others are left.
+#[test]
+fn entry_vms_that_are_cut_off_as_well_are_left_out() {
+    let servers = start_servers();
+    let servers = servers.each_ref();
+    let entry_vm = TestEntryVm::start(&servers);
+    let cut = TestServer::start(|_, id| ok_response(id, "cut off"));
+    let relay = TestServer::start(|_, id| ok_response(id, "passed on"));
+    let _cut = RemoteEntryVm::start_cut_off("north", "donau", &entry_vm, &cut);
+    let announcement = RemoteEntryVm::start_in("south", "donau", &entry_vm, &relay);
+    send_for(Duration::from_millis(300), &entry_vm, "before");
+    let own = entry_vm.callers.to_string();
+    assert_eq!(look_up(&entry_vm), format!("[{own}]"));
+    begin(Cut::Reset, &servers);
+    send_for(Duration::from_secs(1), &entry_vm, "first");
+    assert_eq!(look_up(&entry_vm), format!("[{}]", relay.address));
+    let (sent, served) = send_for(Duration::from_millis(500), &entry_vm, "cut");
+    assert_eq!((served, cut.count()), (sent, 0));
+    drop(announcement);
+    // Without any entry VM that reaches servers, look-ups name the available ones.
+    thread::sleep(Duration::from_secs(1));
+    assert!(look_up(&entry_vm).contains(&own));
+}
+
 /// Guards against a refusal of the other entry VM that is lost, or that leads to attempts at servers
 /// that cannot be reached until the deadline.
 #[test]
--- a/components/gateway/tests/relay/harness.rs
+++ b/components/gateway/tests/relay/harness.rs
@@ -264,6 +264,7 @@
     pub node: Arc<Node>,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    pub look_ups: SocketAddr,
 }
 
 impl TestEntryVm {
@@ -289,6 +290,7 @@
             ..Settings::default()
         };
         let (callers, readiness) = (settings.callers, settings.readiness);
+        let look_ups = settings.look_ups;
         let start = gateway::start(settings, DIALECT, runtime::Clock::start());
         let node = runtime::block_on(1, start).expect("start entry VM");
         for (i, server) in servers.iter().enumerate() {
@@ -301,6 +303,7 @@
             node,
             callers,
             readiness,
+            look_ups,
         }
     }
 
