Name entry VMs of other regions in look-ups only if none of the region is available

A look-up in a region whose entry VMs all count as cut off, for instance while all its servers are down, named those of other regions. It names the available ones of the region now, as before.

--- a/components/dispatch/src/pool.rs
+++ b/components/dispatch/src/pool.rs
@@ -322,11 +322,6 @@
         self.servers.get(server).map_or(0, |s| s.in_flight)
     }
 
-    /// Mean service time, once measured.
-    pub fn mean_service_time(&self) -> Option<Duration> {
-        self.cache_model.mean_service_time()
-    }
-
     /// Returns the grant of a running request, for a repeated submission.
     pub fn active_grant(&self, id: RequestId) -> Option<&Grant> {
         self.active_grants.get(&id).map(|g| &g.grant)
--- a/components/dispatch/src/reachability.rs
+++ b/components/dispatch/src/reachability.rs
@@ -22,12 +22,13 @@
 }
 
 impl Reachability {
-    /// Whether no server can be reached.
+    /// Whether this entry VM reaches no server.
     pub fn is_cut_off(&self) -> bool {
         self.cut_off_since.is_some()
     }
 
-    /// Records that a connection to a server was opened; returns since when this entry VM was cut off, if it was.
+    /// Records that a connection to a server was opened; returns since when this entry VM was cut
+    /// off, if it was.
     pub fn record_contact(&mut self) -> Option<Duration> {
         self.failures = 0;
         self.failed_servers.clear();
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -155,14 +155,10 @@
         inner.members.available(now).into_iter().cloned().collect()
     }
 
-    /// Returns the available members that reach the servers; all available ones if none does.
+    /// Returns the available members that are not cut off from the servers, this one included.
     pub fn reaching_members(&self) -> Vec<Member> {
         let inner = self.lock();
-        let now = self.now();
-        let mut members = inner.reaching_members(now);
-        if members.is_empty() {
-            members = inner.members.available(now);
-        }
+        let members = inner.reaching_members(self.now());
         members.into_iter().cloned().collect()
     }
 
--- a/components/gateway/src/endpoints.rs
+++ b/components/gateway/src/endpoints.rs
@@ -116,24 +116,27 @@
     head.target.split('?').next().unwrap_or("")
 }
 
-/// Selects the available entry VMs that reach the servers in the caller's failure domain, else in its region, else in all
-/// regions that every route of the host allows. The order is random.
+/// Selects the entry VMs in the caller's failure domain that reach the servers, else those in its
+/// region; if none does, the available ones there, else in all regions that every route of the host
+/// allows. The order is random.
 fn select_addresses(node: &Node, query: &LookUpQuery) -> Vec<SocketAddr> {
-    let available = node.dispatcher.reaching_members();
-    let allowed: Vec<&Member> = available
-        .iter()
-        .filter(|m| m.region == query.region || all_routes_allow(node, &query.host, &m.region))
-        .collect();
-    let matching = |f: &dyn Fn(&Member) -> bool| -> Vec<SocketAddr> {
-        allowed.iter().filter(|m| f(m)).map(|m| m.callers).collect()
+    let reaching = node.dispatcher.reaching_members();
+    let available = node.dispatcher.available_members();
+    let select = |members: &[Member], matches: &dyn Fn(&Member) -> bool| {
+        let allowed =
+            |m: &Member| m.region == query.region || all_routes_allow(node, &query.host, &m.region);
+        let selected = members.iter().filter(|m| allowed(m) && matches(m));
+        let addresses: Vec<SocketAddr> = selected.map(|m| m.callers).collect();
+        (!addresses.is_empty()).then_some(addresses)
     };
-    let mut addresses = matching(&|m| m.domain == query.domain);
-    if addresses.is_empty() {
-        addresses = matching(&|m| m.region == query.region);
-    }
-    if addresses.is_empty() {
-        addresses = matching(&|_| true);
-    }
+    let in_domain = |m: &Member| m.domain == query.domain;
+    let in_region = |m: &Member| m.region == query.region;
+    let mut addresses = select(&reaching, &in_domain)
+        .or_else(|| select(&reaching, &in_region))
+        .or_else(|| select(&available, &in_domain))
+        .or_else(|| select(&available, &in_region))
+        .or_else(|| select(&available, &|_| true))
+        .unwrap_or_default();
     fastrand::shuffle(&mut addresses);
     addresses.truncate(MAX_ADDRESSES);
     addresses
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -278,7 +278,7 @@
         return admit_in_other_region(node, req, plan, history);
     }
     if req.origin == Origin::EntryVm && node.dispatcher.is_cut_off() {
-        // The sender learns of the cut with the next heartbeat.
+        // Passing it on again could send it round in circles.
         return Admission::Refused {
             reason: RefuseReason::NoServers,
             retry_after: DEFAULT_RETRY_AFTER,
--- a/components/runtime/src/tcp.rs
+++ b/components/runtime/src/tcp.rs
@@ -1,4 +1,5 @@
-//! Options of TCP connections: detection of peers that no longer respond.
+//! Options of TCP connections: detection of peers that no longer respond, and discarding of requests
+//! that have not arrived.
 
 use std::io::Result;
 use std::os::fd::AsFd;
