--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -228,7 +228,7 @@
     const DRAIN_S: f64 = 2.5;
     const EXIT_AT_S: f64 = REMOVED_AT_S + DRAIN_S + 2.0;
     const DEADLINE_S: f64 = 1.5;
-    const INTERVAL: Duration = Duration::from_millis(50);
+    const INTERVAL: Duration = Duration::from_millis(34);
     let deployment = Deployment::start(&[("orders", "orders", "non_idempotent", 1.5)], record);
     let start = record.now();
     let wait_until = |at: f64| {
