Bound how long polls of the store stay unanswered

Cause: a poll sent while the store was silent was waited for 21.5 s, and its source counted as healthy. With a change just before the outage this holds for all entry VMs, so that nobody is ahead and catching up does not help either.

Two entry VMs of each region now poll with a wait of 1 s and announce changes to the region. An entry VM that catches up ends the poll that has missed the change, and repeats a read that failed.

Ruled out: the change is received and not applied (no rows_applied before source_failed). Rejected: short polls of all entry VMs, for their price on the grown deployments.

--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -202,6 +202,11 @@
         order.into_iter().map(address).collect()
     }
 
+    /// Whether this entry VM asks the platform for changes often and announces them to its region.
+    pub fn is_watcher(&self) -> bool {
+        self.lock().is_watcher(self.now())
+    }
+
     /// Requests a slot and waits for the decision. Dropping the future cancels the request.
     pub async fn admit(self: &Arc<Self>, request: SlotRequest) -> Admission {
         let (number, rx) = self.with_state(|inner, now| inner.submit_request(&request, now));
@@ -262,8 +267,7 @@
         inner.progress.advance(table, position, last_change);
     }
 
-    /// Returns the peer address of an entry VM that has been ahead of this one for some time, until
-    /// it is reported ahead again.
+    /// Returns the peer address of an entry VM that has been ahead of this one for some time.
     pub fn take_peer_ahead(&self, table: &str) -> Option<SocketAddr> {
         let now = self.now();
         self.lock().progress.take_ahead(table, now)
--- a/components/gateway/src/dispatcher/heartbeats.rs
+++ b/components/gateway/src/dispatcher/heartbeats.rs
@@ -22,6 +22,11 @@
 /// no pool. If a region is lost, look-ups spread its callers over the delegates of the other
 /// regions and the entry VMs of the region that answers the look-ups.
 const DELEGATES_PER_REGION: usize = 4;
+/// Number of entry VMs per region that ask the platform for changes often. With two, one may be cut
+/// off from the platform or stop.
+const WATCHERS_PER_REGION: usize = 2;
+/// Number of times that a watcher announces a change to its region, since datagrams may be lost.
+const ANNOUNCEMENTS_PER_CHANGE: u32 = 2;
 /// Most member list entries in one datagram.
 const MEMBERS_PER_DATAGRAM: usize = 16;
 
@@ -53,7 +58,7 @@
         if is_due(&mut self.due.own_region, OWN_REGION_HEARTBEAT_INTERVAL, now) {
             self.expire_members(now);
             self.send_alive(now, |m, region, silent| *m.region == *region && !silent);
-            self.send_last_changes();
+            self.send_last_changes(now);
             self.expire_cut_off_members(now);
             self.announce_cut_off();
         }
@@ -148,16 +153,25 @@
         }
     }
 
-    /// Tells a random member of the region how far this entry VM has replicated the platform's tables.
-    /// Members that are behind read from the sender, so changes spread even if the platform answers
-    /// few entry VMs.
-    fn send_last_changes(&mut self) {
+    /// Whether this entry VM is among the first of its region, which are its watchers.
+    pub fn is_watcher(&self, now: Duration) -> bool {
+        self.members.is_delegate(WATCHERS_PER_REGION, now)
+    }
+
+    /// Tells members of the region how far this entry VM has replicated the platform's tables: all
+    /// of them if it is a watcher and has a new change, otherwise a random one. Members that are
+    /// behind read from the sender, so changes spread even if the platform answers few entry VMs.
+    fn send_last_changes(&mut self, now: Duration) {
         let own = &self.members.own;
         let members = self.members.seen().filter(|m| m.region == own.region);
-        let members: Vec<SocketAddr> = members.map(|m| m.peers).collect();
-        if let Some(&to) = fastrand::choice(&members) {
-            let changes = self.progress.last_changes();
-            self.send(to, Message::LastChanges(changes));
+        let mut members: Vec<SocketAddr> = members.map(|m| m.peers).collect();
+        let announces = self.progress.take_announcement(ANNOUNCEMENTS_PER_CHANGE);
+        if !(announces && self.is_watcher(now)) {
+            members = fastrand::choice(members).into_iter().collect();
+        }
+        let changes = self.progress.last_changes();
+        for to in members {
+            self.send(to, Message::LastChanges(changes.clone()));
         }
     }
 
--- a/components/gateway/src/dispatcher/progress.rs
+++ b/components/gateway/src/dispatcher/progress.rs
@@ -10,11 +10,17 @@
 /// Time for which this entry VM may be behind another one; longer than the batches and transfers of
 /// a working source take.
 const MAX_LAG: Duration = Duration::from_secs(1);
+/// Time after which a read from an entry VM that is ahead is repeated if it did not help.
+const RETRY_INTERVAL: Duration = Duration::from_millis(300);
+/// Reads after which the change is forgotten until it is reported again.
+const MAX_READS: u32 = 5;
 
 /// Progress of this entry VM, and the entry VMs that are ahead of it, by table.
 #[derive(Debug, Default)]
 pub(super) struct Progress {
     tables: BTreeMap<Box<str>, TableProgress>,
+    /// Announcements since the last change that this entry VM has applied.
+    announcements: u32,
 }
 
 #[derive(Debug, Default)]
@@ -32,8 +38,10 @@
     change: u64,
     /// Peer address of the entry VM that reported this change or a later one last.
     peer: SocketAddr,
-    /// When the change was first reported.
-    since: Duration,
+    /// When this entry VM is to read from the other one.
+    read_at: Duration,
+    /// Reads so far.
+    reads: u32,
 }
 
 impl Progress {
@@ -43,11 +51,21 @@
         tables.map(|(n, t)| (n.clone(), t.last_change)).collect()
     }
 
+    /// Returns whether the last change has been announced less than `count` times, and counts an
+    /// announcement.
+    pub fn take_announcement(&mut self, count: u32) -> bool {
+        self.announcements = self.announcements.saturating_add(1);
+        self.announcements <= count
+    }
+
     /// Records the progress of this entry VM.
     pub fn advance(&mut self, table: &str, position: u64, last_change: u64) {
         let table = self.tables.entry(table.into()).or_default();
         table.position = table.position.max(position);
-        table.last_change = table.last_change.max(last_change);
+        if table.last_change < last_change {
+            table.last_change = last_change;
+            self.announcements = 0;
+        }
         table.ahead.take_if(|a| a.change <= table.position);
     }
 
@@ -65,17 +83,22 @@
                 table.ahead = Some(Ahead {
                     change,
                     peer,
-                    since: now,
+                    read_at: now + MAX_LAG,
+                    reads: 0,
                 });
             }
         }
     }
 
-    /// Returns an entry VM that has been ahead of this one for longer than `MAX_LAG`. It is not
-    /// returned again until it is reported ahead again.
+    /// Returns an entry VM that has been ahead of this one for longer than `MAX_LAG`, again after
+    /// `RETRY_INTERVAL` if this one is still behind.
     pub fn take_ahead(&mut self, table: &str, now: Duration) -> Option<SocketAddr> {
-        let ahead = &mut self.tables.get_mut(table)?.ahead;
-        let overdue = ahead.take_if(|a| a.since + MAX_LAG <= now);
-        overdue.map(|a| a.peer)
+        let slot = &mut self.tables.get_mut(table)?.ahead;
+        let ahead = slot.as_mut().filter(|a| a.read_at <= now)?;
+        ahead.read_at = now + RETRY_INTERVAL;
+        ahead.reads += 1;
+        let peer = ahead.peer;
+        slot.take_if(|a| a.reads == MAX_READS);
+        Some(peer)
     }
 }
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -159,8 +159,8 @@
         self.dispatcher.set_progress(table, position, last_change);
     }
 
-    /// Returns the peer address of an entry VM that has been ahead of this one for some time, until
-    /// it is reported ahead again.
+    /// Returns the peer address of an entry VM that has been ahead of this one for some time. It is
+    /// returned again after a while if this entry VM is still behind.
     pub fn take_peer_ahead(&self, table: &str) -> Option<SocketAddr> {
         self.dispatcher.take_peer_ahead(table)
     }
@@ -204,6 +204,12 @@
         self.dispatcher.ranked_domain_peers(max_silence)
     }
 
+    /// Whether this entry VM is one of the few of its region that ask the platform for changes often
+    /// and announce them to the others.
+    pub fn is_watcher(&self) -> bool {
+        self.dispatcher.is_watcher()
+    }
+
     /// Returns the peer addresses of the other available entry VMs.
     pub fn available_peers(&self) -> Vec<SocketAddr> {
         let own = self.own().id;
--- a/components/standins/src/store/mod.rs
+++ b/components/standins/src/store/mod.rs
@@ -35,6 +35,9 @@
     Slow(Duration),
     /// Responds 429 to calls beyond this number per second.
     Rate(u32),
+    /// Never responds to calls that arrive or become due meanwhile, and keeps their connections
+    /// open; calls have no effect.
+    Silent,
 }
 
 /// Handle of a store stand-in; clones share its state.
--- a/components/standins/src/store/serve.rs
+++ b/components/standins/src/store/serve.rs
@@ -13,6 +13,16 @@
 /// Limit of `wait-ms`.
 const MAX_FEED_WAIT: Duration = Duration::from_secs(30);
 
+/// What happens to a call.
+enum Outcome {
+    /// It gets this status and body.
+    Response(u16, Value),
+    /// Its connection is closed without a response.
+    Close,
+    /// It gets no response, and its connection stays open.
+    Silence,
+}
+
 /// Request of a call.
 struct Request {
     path: String,
@@ -25,8 +35,14 @@
     let Some(request) = read_request(&mut stream) else {
         return;
     };
-    let Some((status, value)) = respond(&request, shared) else {
-        return;
+    let (status, value) = match respond(&request, shared) {
+        Outcome::Response(status, value) => (status, value),
+        Outcome::Close => return,
+        Outcome::Silence => {
+            // Returns when the client closes the connection.
+            let _ = stream.read(&mut [0]);
+            return;
+        }
     };
     let body = value.to_string();
     let head = format!(
@@ -37,34 +53,42 @@
     let _ = stream.write_all((head + &body).as_bytes());
 }
 
-/// Returns status and body of the response, or `None` to close the connection without one.
-fn respond(request: &Request, shared: &Shared) -> Option<(u16, Value)> {
+fn respond(request: &Request, shared: &Shared) -> Outcome {
     let mut state = shared.lock();
     if state.count_call() {
-        return Some((429, json!({})));
+        return Outcome::Response(429, json!({}));
     }
     if let Some(StoreFault::Slow(delay)) = state.fault {
         drop(state);
         thread::sleep(delay);
         state = shared.lock();
     }
+    if state.fault == Some(StoreFault::Silent) {
+        return Outcome::Silence;
+    }
     let wait = Duration::from_millis(request.query_number("wait-ms")).min(MAX_FEED_WAIT);
     let deadline = Instant::now() + wait;
     loop {
         // A fault also ends waiting calls, as when the store goes down.
         match state.fault {
-            Some(StoreFault::Refuse(status)) => return Some((status, json!({}))),
-            Some(StoreFault::Reset) => return None,
-            Some(StoreFault::Garbage) => return Some((200, Value::Null)),
+            Some(StoreFault::Refuse(status)) => return Outcome::Response(status, json!({})),
+            Some(StoreFault::Reset) => return Outcome::Close,
+            Some(StoreFault::Garbage) => return Outcome::Response(200, Value::Null),
             _ => {}
         }
-        if let Some(response) = state.handle(request) {
-            let is_lost = state.fault == Some(StoreFault::LoseAnswers);
-            return (!is_lost).then_some(response);
+        if let Some((status, value)) = state.handle(request) {
+            return match state.fault {
+                Some(StoreFault::LoseAnswers) => Outcome::Close,
+                Some(StoreFault::Silent) => Outcome::Silence,
+                _ => Outcome::Response(status, value),
+            };
         }
         let remaining = deadline.saturating_duration_since(Instant::now());
         if remaining.is_zero() {
-            return Some((200, state.response_body(&[])));
+            if state.fault == Some(StoreFault::Silent) {
+                return Outcome::Silence;
+            }
+            return Outcome::Response(200, state.response_body(&[]));
         }
         state = match shared.changed.wait_timeout(state, remaining) {
             Ok((state, _)) => state,
