--- a/components/dispatch/src/members.rs
+++ b/components/dispatch/src/members.rs
@@ -272,6 +272,16 @@
         self.own.state == MemberState::Ready && ranked_higher.count() < count
     }
 
+    /// Returns the first `count` members of this region, in the order of [`MemberList::is_delegate`].
+    pub fn delegates(&self, count: usize, now: Duration) -> Vec<&Member> {
+        let region = &self.own.region;
+        let largest = largest_capacity(self.candidates(region, now));
+        let mut candidates: Vec<_> = self.candidates(region, now).collect();
+        candidates.sort_by_key(|(hash, _, c)| std::cmp::Reverse((rank(*c, largest), *hash)));
+        let first = candidates.into_iter().take(count);
+        first.map(|(_, member, _)| member).collect()
+    }
+
     /// Returns another member as a candidate; the smallest one while its capacity is still to arrive.
     fn candidate<'a>(&self, peer: &'a Peer, now: Duration) -> Candidate<'a> {
         let awaited = self.own_capacity.is_some() && now < peer.first_seen + CAPACITY_WAIT;
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -207,6 +207,11 @@
         self.lock().is_watcher(self.now())
     }
 
+    /// Whether no watcher of the region is connected to the platform.
+    pub fn watchers_disconnected(&self) -> bool {
+        self.lock().watchers_disconnected(self.now())
+    }
+
     /// Requests a slot and waits for the decision. Dropping the future cancels the request.
     pub async fn admit(self: &Arc<Self>, request: SlotRequest) -> Admission {
         let (number, rx) = self.with_state(|inner, now| inner.submit_request(&request, now));
--- a/components/gateway/src/dispatcher/heartbeats.rs
+++ b/components/gateway/src/dispatcher/heartbeats.rs
@@ -158,6 +158,12 @@
         self.members.is_delegate(WATCHERS_PER_REGION, now)
     }
 
+    /// Whether no watcher of the region is connected to the platform.
+    pub fn watchers_disconnected(&self, now: Duration) -> bool {
+        let watchers = self.members.delegates(WATCHERS_PER_REGION, now);
+        !watchers.is_empty() && watchers.iter().all(|m| !m.platform_connected)
+    }
+
     /// Tells members of the region how far this entry VM has replicated the platform's tables: all
     /// of them if it is a watcher and has a new change, otherwise a random one. Members that are
     /// behind read from the sender, so changes spread even if the platform answers few entry VMs.
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -210,6 +210,11 @@
         self.dispatcher.is_watcher()
     }
 
+    /// Whether no watcher of the region is connected to the platform.
+    pub fn watchers_disconnected(&self) -> bool {
+        self.dispatcher.watchers_disconnected()
+    }
+
     /// Returns the peer addresses of the other available entry VMs.
     pub fn available_peers(&self) -> Vec<SocketAddr> {
         let own = self.own().id;
