--- a/components/gateway/src/callers/session.rs
+++ b/components/gateway/src/callers/session.rs
@@ -40,7 +40,7 @@
     origin: Origin,
     incoming: Incoming,
     /// Responses not yet written, in the order of the requests.
-    pending: VecDeque<PendingAnswer>,
+    pending: VecDeque<AnswerSource>,
     /// Whether reading of requests has ended because the connection closes after a pending
     /// response.
     stop_reading: bool,
@@ -60,13 +60,6 @@
     },
 }
 
-/// A response that has not been written yet.
-struct PendingAnswer {
-    source: AnswerSource,
-    /// Whether the connection is closed after this response.
-    close: bool,
-}
-
 /// Where the response to a request comes from.
 enum AnswerSource {
     /// Task of an idempotent request; dropping it cancels the request.
@@ -114,8 +107,10 @@
             self.read_requests();
             match self.next_event().await {
                 Event::Answer(answer) => {
-                    let close = self.pending.pop_front().is_none_or(|answer| answer.close);
-                    let close = close || self.node.leaving_since().is_some();
+                    // A stopping process answers the requests that it has taken, and no more.
+                    self.stop_reading |= self.node.leaving_since().is_some();
+                    self.pending.pop_front();
+                    let close = self.stop_reading && self.pending.is_empty();
                     self.write(*answer, close).await?;
                     if close {
                         return self.linger().await;
@@ -144,7 +139,7 @@
         let idle = pending.is_empty();
         let answer = async {
             match pending.front_mut() {
-                Some(first) => Event::Answer(first.source.answer().await),
+                Some(first) => Event::Answer(first.answer().await),
                 None => futures_lite::future::pending().await,
             }
         };
@@ -291,9 +286,10 @@
         self.push_answer(AnswerSource::Detached(rx), close);
     }
 
+    /// Adds a response; `close` states whether the connection is closed after it.
     fn push_answer(&mut self, source: AnswerSource, close: bool) {
         self.stop_reading |= close;
-        self.pending.push_back(PendingAnswer { source, close });
+        self.pending.push_back(source);
     }
 
     async fn write(&mut self, mut answer: Answer, close: bool) -> Result<()> {
--- a/components/gateway/tests/relay/stop.rs
+++ b/components/gateway/tests/relay/stop.rs
@@ -2,11 +2,12 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
 use crate::harness::{
-    ServerAction, TestEntryVm, TestServer, ok_response, read_response, request,
+    ServerAction, TestEntryVm, TestServer, header_value, ok_response, read_response, request,
     request_with_deadline,
 };
 
@@ -103,6 +104,66 @@
     }
 }
 
+/// Starts a graceful stop; it ends on the returned thread.
+fn start_stop(entry_vm: &TestEntryVm) -> thread::JoinHandle<()> {
+    let (tx, rx) = async_channel::bounded::<()>(1);
+    let node = entry_vm.node.clone();
+    drop(tx);
+    thread::spawn(move || runtime::block_on(1, gateway::run_until(&node, rx)))
+}
+
+/// Sends three requests on one connection, the one at `binding` (if any) an order, and stops the
+/// entry VM `delay` later. Returns the responses and the ids that the server has received.
+fn pipeline_during_stop(binding: Option<usize>, delay: Duration) -> (Vec<String>, Vec<String>) {
+    let server = TestServer::start(|_, id| {
+        let work = [300, 500, 700][usize::from(id.as_bytes()[1] - b'0')];
+        let mut actions = vec![ServerAction::Wait(Duration::from_millis(work))];
+        actions.extend(ok_response(id, id));
+        actions
+    });
+    let entry_vm = TestEntryVm::start(&[&server]);
+    let mut stream = entry_vm.connect();
+    for i in 0..3 {
+        let (method, path) = if binding == Some(i) {
+            ("POST", "/order/1")
+        } else {
+            ("GET", "/read/1")
+        };
+        let req = request_with_deadline(method, path, &format!("p{i}"), 1500);
+        stream.write_all(&req).unwrap();
+    }
+    thread::sleep(delay);
+    let stop = start_stop(&entry_vm);
+    let mut answered = Vec::new();
+    let mut last_head = String::new();
+    while let Some((status, head, _)) = read_response(&mut stream) {
+        assert!(!last_head.contains("Connection: close"), "{last_head}");
+        let id = format!("p{}", answered.len());
+        assert!(head.contains(&id), "{head}");
+        answered.push(format!("{id}:{status}"));
+        last_head = head;
+    }
+    assert!(last_head.contains("Connection: close"), "{last_head}");
+    stop.join().unwrap();
+    assert_eq!(server.cancelled.load(Ordering::SeqCst), 0);
+    let requests = server.requests.lock().unwrap();
+    let id = |r: &String| header_value(r, "x-id").unwrap();
+    (answered, requests.iter().map(id).collect())
+}
+
+/// Guards against a stop that cuts pipelined requests at which servers are at work (review case 4).
+#[test]
+fn pipelined_requests_are_answered_during_a_stop() {
+    for delay_ms in [100, 350, 600] {
+        let (answered, _) = pipeline_during_stop(None, Duration::from_millis(delay_ms));
+        assert_eq!(
+            answered,
+            ["p0:200", "p1:200", "p2:200"],
+            "after {delay_ms} ms"
+        );
+    }
+}
+
 /// Guards against a stop that refuses what can still be answered, so that callers with an older
 /// look-up response are turned away for the whole grace period.
 #[test]
