Start a pipelined order only when its answer can be given

Callers take requests behind a response that closes the connection for unread, and send them again whatever their kind.

Cause: all pipelined requests were started at once, binding ones in tasks that go on without the connection.

A binding request is now started once the answers ahead of it are written. Route and kind are taken from the same configuration.

--- a/components/gateway/src/callers/session.rs
+++ b/components/gateway/src/callers/session.rs
@@ -7,6 +7,7 @@
 
 use async_channel::Receiver;
 use async_net::TcpStream;
+use dispatch::RouteTable;
 use futures_lite::FutureExt;
 use runtime::Task;
 
@@ -62,6 +63,9 @@
 
 /// Where the response to a request comes from.
 enum AnswerSource {
+    /// A binding request that is not started before the responses ahead of it are written. If the
+    /// connection ends with one of them, the caller takes the request for unread and sends it again.
+    NotStarted(Box<Request>),
     /// Task of an idempotent request; dropping it cancels the request.
     Cancellable(Task<Answer>),
     /// Channel of a binding request, which continues if the caller disconnects.
@@ -105,6 +109,7 @@
     async fn serve(&mut self) -> Result<()> {
         loop {
             self.read_requests();
+            self.start_first();
             match self.next_event().await {
                 Event::Answer(answer) => {
                     // A stopping process answers the requests that it has taken, and no more.
@@ -255,35 +260,33 @@
         }))
     }
 
-    /// Starts relaying a request. A binding request runs in a detached task, since its outcome
-    /// would be unknown if it were cancelled.
+    /// Starts a request, unless it is binding and others are ahead of it.
     fn start_request(&mut self, req: Request) {
         let close = !req.head.keeps_alive();
-        let node = self.node.clone();
-        if req.body_memory.is_none() {
+        let routes = self.node.routes();
+        let source = if req.body_memory.is_none() {
             let mut answer = Answer::own(Code::NoMemory, None);
-            let name = node.dialect.headers.request_id;
+            let name = self.node.dialect.headers.request_id;
             if let Some(id) = req.head.get(name) {
                 answer.add(name, id);
             }
-            let source = AnswerSource::Ready(Some(Box::new(answer)));
-            self.push_answer(source, close);
-            return;
-        }
-        if !is_binding(&node, &req.head) {
-            let task = runtime::spawn(async move { relay(&node, req).await });
-            self.push_answer(AnswerSource::Cancellable(task), close);
-            return;
+            AnswerSource::Ready(Some(Box::new(answer)))
+        } else if !self.pending.is_empty() && is_binding(routes.as_deref(), &req.head) {
+            AnswerSource::NotStarted(Box::new(req))
+        } else {
+            AnswerSource::start(self.node.clone(), req, routes)
+        };
+        self.push_answer(source, close);
+    }
+
+    /// Starts the first request if it has waited for the responses ahead of it.
+    fn start_first(&mut self) {
+        if let Some(AnswerSource::NotStarted(_)) = self.pending.front()
+            && let Some(AnswerSource::NotStarted(req)) = self.pending.pop_front()
+        {
+            let started = AnswerSource::start(self.node.clone(), *req, self.node.routes());
+            self.pending.push_front(started);
         }
-        let (tx, rx) = async_channel::bounded(1);
-        runtime::spawn(async move {
-            let answer = relay(&node, req).await;
-            if tx.send(answer).await.is_err() {
-                log::info!("event=answer_not_taken");
-            }
-        })
-        .detach();
-        self.push_answer(AnswerSource::Detached(rx), close);
     }
 
     /// Adds a response; `close` states whether the connection is closed after it.
@@ -353,8 +356,28 @@
         AnswerSource::Ready(Some(Box::new(Answer::own(code, None))))
     }
 
+    /// Starts relaying a request by `routes`. A binding request runs in a detached task, since its
+    /// outcome would be unknown if it were cancelled.
+    fn start(node: Arc<Node>, req: Request, routes: Option<Arc<RouteTable>>) -> Self {
+        if !is_binding(routes.as_deref(), &req.head) {
+            let task = runtime::spawn(async move { relay(&node, req, routes).await });
+            return AnswerSource::Cancellable(task);
+        }
+        let (tx, rx) = async_channel::bounded(1);
+        runtime::spawn(async move {
+            let answer = relay(&node, req, routes).await;
+            if tx.send(answer).await.is_err() {
+                log::info!("event=answer_not_taken");
+            }
+        })
+        .detach();
+        AnswerSource::Detached(rx)
+    }
+
     async fn answer(&mut self) -> Box<Answer> {
         match self {
+            // Not awaited: the first request is started before its response is.
+            AnswerSource::NotStarted(_) => futures_lite::future::pending().await,
             AnswerSource::Cancellable(task) => Box::new(task.await),
             AnswerSource::Detached(rx) => Box::new(match rx.recv().await {
                 Ok(answer) => answer,
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -122,11 +122,11 @@
     last_error: Option<Answer>,
 }
 
-/// Relays a request and returns the response for its sender.
-pub async fn relay(node: &Arc<Node>, req: Request) -> Answer {
+/// Relays a request by `routes` and returns the response for its sender.
+pub async fn relay(node: &Arc<Node>, req: Request, routes: Option<Arc<RouteTable>>) -> Answer {
     let _open = node.count_request();
     let mut trace = Trace::new(node, &req);
-    let mut answer = match plan(node, &req) {
+    let mut answer = match plan(node, &req, routes) {
         Ok(plan) => {
             trace.set_plan(&plan);
             attempt_until_done(node, &req, &plan, &mut trace).await
@@ -143,11 +143,15 @@
 }
 
 /// Matches the route and derives the time limits; the error is the response to the sender.
-fn plan(node: &Arc<Node>, req: &Request) -> Result<Plan, Box<Answer>> {
+fn plan(
+    node: &Arc<Node>,
+    req: &Request,
+    routes: Option<Arc<RouteTable>>,
+) -> Result<Plan, Box<Answer>> {
     let refuse = |code, after| Err(Box::new(Answer::own(code, after)));
     let names = &node.dialect.headers;
     let head = &req.head;
-    let Some(routes) = node.routes() else {
+    let Some(routes) = routes else {
         return refuse(Code::NoConfiguration, Some(DEFAULT_RETRY_AFTER));
     };
     if req.origin == Origin::EntryVm && is_behind_sender(routes.generation, head) {
@@ -202,8 +206,8 @@
 }
 
 /// Returns whether a request must run at most once. A request that matches no route is not binding.
-pub fn is_binding(node: &Node, head: &RequestHead) -> bool {
-    node.routes().is_some_and(|routes| {
+pub fn is_binding(routes: Option<&RouteTable>, head: &RequestHead) -> bool {
+    routes.is_some_and(|routes| {
         let host = head.get("host").unwrap_or("");
         matches!(routes.find(host, &head.target), RouteMatch::Found(route) if route.binding)
     })
--- a/components/gateway/tests/relay/stop.rs
+++ b/components/gateway/tests/relay/stop.rs
@@ -164,6 +164,26 @@
     }
 }
 
+/// Guards against an order that runs although its caller takes it for unread, since it was sent behind
+/// a response that closes the connection, and sends it again.
+#[test]
+fn pipelined_order_behind_a_closing_response_does_not_run() {
+    for binding in 0..3 {
+        for delay_ms in [100, 350, 600] {
+            let case = format!("order at {binding}, stop after {delay_ms} ms");
+            let delay = Duration::from_millis(delay_ms);
+            let (answered, received) = pipeline_during_stop(Some(binding), delay);
+            let order = format!("p{binding}");
+            let got_answer = answered.iter().any(|a| *a == format!("{order}:200"));
+            assert_eq!(
+                received.contains(&order),
+                got_answer,
+                "{case}: {answered:?} {received:?}"
+            );
+        }
+    }
+}
+
 /// Guards against a stop that refuses what can still be answered, so that callers with an older
 /// look-up response are turned away for the whole grace period.
 #[test]
