Take no status of a server for a promise that an order has not run

Orders that had run reached callers as 408, 421, 429 or 503, by which callers send them again (REFUSED, reported from real processes).

Cause: the status of a server was passed on as it was, and a bare 421 was taken for not run, also on the way through another entry VM. Only the header field for it states that a server has not run a request.

For binding requests such a response gives 502, outcome unknown; for others it is a failed attempt. Header fields that only entry VMs set are removed from servers' responses: another entry VM would believe them.

status_alone_does_not_promise_that_an_order_has_not_run, refused_read_is_retried and forwarded_status_alone_does_not_promise_that_an_order_has_not_run fail on (the status is passed on) and pass.

--- a/components/gateway/src/codes.rs
+++ b/components/gateway/src/codes.rs
@@ -9,6 +9,19 @@
 /// Value of [`OUTCOME_HEADER`] for a request that a server may have run.
 pub const UNKNOWN: &str = "unknown";
 
+/// Returns whether only entry VMs set a header field of responses. Other entry VMs rely on it.
+pub fn is_own_header(name: &str) -> bool {
+    [CODE_HEADER, OUTCOME_HEADER]
+        .iter()
+        .any(|n| name.eq_ignore_ascii_case(n))
+}
+
+/// Returns whether a response with this status tells its receiver that the request has not run and
+/// never will.
+pub fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Reason for which the gateway answers a request itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Code {
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -17,7 +17,7 @@
     AttemptHistory, DEFAULT_RETRY_AFTER, MAX_CONNECT_FAILURES, MIN_SENT_DEADLINE, Plan, Request,
 };
 use crate::answer::{Answer, Rest};
-use crate::codes::Code;
+use crate::codes::{Code, is_own_header, promises_not_run};
 use crate::dispatcher::{Admission, GrantCheck, Slot, SlotRequest};
 use crate::exchange::{Failure, OutgoingRequest, ReceivedResponse, connect, exchange};
 use crate::http::{Error, ResponseHead};
@@ -60,9 +60,9 @@
     }
 
     /// Returns whether the server may have run the request.
-    fn may_have_run(&self, node: &Node) -> bool {
+    fn may_have_run(&self, node: &Node, plan: &Plan) -> bool {
         match &self.result {
-            Some(Ok(received)) => !is_not_run(node, &received.head),
+            Some(Ok(received)) => !is_not_run(node, plan, &received.head),
             Some(Err(Failure::Unreachable(_) | Failure::Withdrawn)) => false,
             Some(Err(Failure::Lost(_))) | None => true,
         }
@@ -151,7 +151,7 @@
         "hedge_failed",
         finished.elapsed,
     );
-    history.may_have_run |= finished.may_have_run(node);
+    history.may_have_run |= finished.may_have_run(node, plan);
     drop(finished);
     if first_finished {
         hedge.await
@@ -225,9 +225,17 @@
     exchange(connection, &outgoing, names, &node.idle, || node.now()).await
 }
 
-/// Returns whether a response states that the server did not run the request.
-fn is_not_run(node: &Node, head: &ResponseHead) -> bool {
-    head.get(node.dialect.headers.not_run).is_some() || head.status == 421
+/// Returns whether a response states that the server did not run the request. The status alone does
+/// not: bytes of a faulty server may look like a refusal. For a request that may be repeated, a
+/// misdirected one is sent elsewhere in any case.
+fn is_not_run(node: &Node, plan: &Plan, head: &ResponseHead) -> bool {
+    let stated = head.get(node.dialect.headers.not_run).is_some();
+    stated || (head.status == 421 && !plan.route.binding)
+}
+
+/// Returns whether a response with this status is an error or a refusal.
+fn is_failure(status: u16) -> bool {
+    status >= 500 || promises_not_run(status)
 }
 
 /// Reports the outcome of an attempt to its slot and decides how to continue.
@@ -256,7 +264,7 @@
         Some(Ok(received)) => {
             let load = received.head.get(names.load);
             slot.set_load(load.and_then(node.dialect.parse_load));
-            if is_not_run(node, &received.head) {
+            if is_not_run(node, plan, &received.head) {
                 trace.record_attempt(&server, "not_run", elapsed);
                 slot.set_outcome(Outcome::Refused);
                 history.sent_attempts += 1;
@@ -346,7 +354,7 @@
 ) -> Step {
     let may_retry = plan.may_retry(history);
     let status = received.head.status;
-    let failed = status >= 500;
+    let failed = is_failure(status);
     trace.record_attempt(
         &slot.grant.server,
         if failed { "error" } else { "answered" },
@@ -360,6 +368,10 @@
     let method = req.head.method.clone();
     history.sent_attempts += 1;
     history.may_have_run = true;
+    if plan.route.binding && promises_not_run(status) {
+        // Passed on, the status would promise that the request has not run.
+        return Step::done(Answer::own(Code::AnswerLost, None));
+    }
     let rest = received.rest.map(|(connection, body)| Rest {
         connection,
         body,
@@ -367,7 +379,9 @@
         _slot: Some(slot),
     });
     let complete = rest.is_none();
-    let answer = Answer::passed_on(received.head, &method, received.body, rest);
+    let mut head = received.head;
+    head.headers.retain(|h| !is_own_header(&h.name));
+    let answer = Answer::passed_on(head, &method, received.body, rest);
     if failed && may_retry && complete {
         history.last_error = Some(answer);
         return Step::Retry;
--- a/components/gateway/src/relay/forward.rs
+++ b/components/gateway/src/relay/forward.rs
@@ -11,7 +11,7 @@
 use super::trace::Trace;
 use super::{AttemptHistory, MIN_SENT_DEADLINE, Plan, Request};
 use crate::answer::{Answer, Rest};
-use crate::codes::{Code, NOT_RUN, OUTCOME_HEADER};
+use crate::codes::{Code, NOT_RUN, OUTCOME_HEADER, promises_not_run};
 use crate::exchange::{Failure, OutgoingRequest, ReceivedResponse, connect, exchange};
 use crate::node::Node;
 
@@ -55,6 +55,10 @@
                 // This region may have a slot by now.
                 return Step::Retry;
             }
+            if plan.route.binding && !not_run && promises_not_run(received.head.status) {
+                // The answer of a server, of which the other entry VM could not know this.
+                return handle_lost_response(history, false, Code::AnswerLost);
+            }
             let rest = received.rest.map(|(connection, body)| Rest {
                 connection,
                 body,
--- a/components/gateway/tests/relay/answers.rs
+++ b/components/gateway/tests/relay/answers.rs
@@ -69,6 +69,45 @@
     assert_eq!(servers.iter().map(TestServer::count).sum::<usize>(), 2);
 }
 
+/// Script for a response with a status and without a body; `header` is a whole line or empty.
+fn bare_response(id: &str, status: u16, header: &str) -> Vec<ServerAction> {
+    let text = format!("HTTP/1.1 {status} X\r\nX-Id: {id}\r\n{header}Content-Length: 0\r\n\r\n");
+    vec![ServerAction::Send(text.into_bytes())]
+}
+
+/// Guards against an order that ran and whose caller is told that it has not: only the header field
+/// for it states that a server has not run a request, not the status alone (REFUSED).
+#[test]
+fn status_alone_does_not_promise_that_an_order_has_not_run() {
+    for status in [408, 421, 429, 503] {
+        for header in ["", "X-Outcome: not-run\r\n"] {
+            let servers =
+                [0, 1].map(|_| TestServer::start(move |_, id| bare_response(id, status, header)));
+            let entry_vm = TestEntryVm::start(&servers.each_ref());
+            let (answer, head, _) = entry_vm.send("POST", "/order/1", "a1");
+            assert_eq!(answer, 502, "{status}: {head}");
+            assert!(head.contains("x-outcome: unknown"), "{status}: {head}");
+            let received: usize = servers.iter().map(TestServer::count).sum();
+            assert_eq!(received, 1, "{status}: sent again");
+        }
+    }
+}
+
+/// Guards against a read that fails because one server refuses it without saying that it has not run,
+/// although another one can answer.
+#[test]
+fn refused_read_is_retried() {
+    for status in [408, 421, 429, 503] {
+        let refusing = TestServer::start(move |_, id| bare_response(id, status, ""));
+        let good = TestServer::start(|_, id| ok_response(id, "done"));
+        let entry_vm = TestEntryVm::start(&[&refusing, &good]);
+        for i in 0..4 {
+            let (answer, head, _) = entry_vm.send("GET", "/read/1", &format!("a{i}"));
+            assert_eq!(answer, 200, "{status}: {head}");
+        }
+    }
+}
+
 /// Guards against sending a truncated response to the caller although another server can respond.
 #[test]
 fn truncated_response_is_retried() {
--- a/components/gateway/tests/relay/forward.rs
+++ b/components/gateway/tests/relay/forward.rs
@@ -250,3 +250,30 @@
         caller.join().unwrap();
     }
 }
+
+/// Guards against an order that ran in another region, of whose server's bare status the entry VM there
+/// could not know that the order is binding, and that is refused here as not run (REFUSED).
+#[test]
+fn forwarded_status_alone_does_not_promise_that_an_order_has_not_run() {
+    for status in [408, 421, 429, 503] {
+        let local = slow_server();
+        let remote = TestServer::start(move |_, id| {
+            let text = format!("HTTP/1.1 {status} X\r\nX-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+            vec![ServerAction::Send(text.into_bytes())]
+        });
+        let entry_vm = TestEntryVm::start(&[&local]);
+        let callers = occupy_slots(&entry_vm, &local, entry_vm.callers);
+        let _remote = RemoteEntryVm::start(&entry_vm, &remote);
+        thread::sleep(Duration::from_millis(200));
+        let (answer, head, _) = entry_vm.send("POST", "/order/2", "a1");
+        assert_eq!(
+            (answer, remote.count(), local.count()),
+            (502, 1, 3),
+            "{head}"
+        );
+        assert!(head.contains("x-outcome: unknown"), "{head}");
+        for caller in callers {
+            caller.join().unwrap();
+        }
+    }
+}
