Do not take the refusal of a hedge for the answer

A read was refused as not run although a first server was working on it.

Cause: a response below status 500 counted as usable, so a 429 or 421 of the server that was tried beside a slow one ended the first attempt; its run was not counted, and the request could be refused as not run.

A hedge's refusal is now handled like its failure: the first attempt goes on.

--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -54,9 +54,9 @@
 }
 
 impl FinishedAttempt {
-    /// Returns whether a response below status 500 was received.
+    /// Returns whether a response was received that is neither an error nor a refusal.
     fn is_usable(&self) -> bool {
-        matches!(&self.result, Some(Ok(r)) if r.head.status < 500)
+        matches!(&self.result, Some(Ok(r)) if !is_failure(r.head.status))
     }
 
     /// Returns whether the server may have run the request.
--- a/components/gateway/tests/relay/hedges.rs
+++ b/components/gateway/tests/relay/hedges.rs
@@ -41,3 +41,39 @@
     assert_eq!(status, 502, "{head}");
     assert!(head.contains("x-outcome: unknown"), "{head}");
 }
+
+/// Guards against a refusal as not run of a request that a first server is still working on, because a
+/// server that is tried beside it refuses with a status below 500 and counts as its answer.
+#[test]
+fn hedge_that_is_refused_does_not_end_the_first_attempt() {
+    for status in ["421 Misdirected Request", "429 Too Many Requests"] {
+        let attempts = Arc::new(AtomicUsize::new(0));
+        let start = || {
+            let attempts = attempts.clone();
+            TestServer::start(move |_, id| {
+                if id != "hedged" {
+                    return ok_response(id, "done");
+                }
+                if attempts.fetch_add(1, Ordering::SeqCst) == 0 {
+                    let mut actions = vec![ServerAction::Wait(Duration::from_millis(600))];
+                    actions.extend(ok_response(id, "slow"));
+                    return actions;
+                }
+                let text = format!(
+                    "HTTP/1.1 {status}\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                );
+                vec![ServerAction::Send(text.into_bytes())]
+            })
+        };
+        let (a, b) = (start(), start());
+        let entry_vm = TestEntryVm::start(&[&a, &b]);
+        for i in 0..WARM_UP_REQUESTS {
+            assert_eq!(entry_vm.send("GET", "/read/1", &format!("a{i}")).0, 200);
+        }
+        let (answer, head, body) = entry_vm.send("GET", "/read/1", "hedged");
+        assert_eq!(attempts.load(Ordering::SeqCst), 2, "no hedge was sent");
+        assert_eq!((answer, &*body), (200, "slow"), "{status}: {head}");
+        let cancelled = a.cancelled.load(Ordering::SeqCst) + b.cancelled.load(Ordering::SeqCst);
+        assert_eq!(cancelled, 0, "{status}");
+    }
+}
