Bound the memory of answers without end

A process with many answers that do not end, or with a store that lists rows without end, was over its memory limit and would be killed with all requests (reported by operators of other systems).

Cause: each answer was bounded, by 256 KiB in two copies, but not all of them together; lists of rows had no bound.

Bodies of requests and responses share a budget of 0.4 of the memory limit in the settings. A response that gets nothing of it is streamed after 16 KiB; the second copy is gone.

--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -6,6 +6,7 @@
 use crate::codes::{CODE_HEADER, Code, OUTCOME_HEADER};
 use crate::dispatcher::Slot;
 use crate::http::{Body, Connection, Header, ResponseHead, is_hop_by_hop};
+use crate::memory::Reservation;
 
 /// Remainder of a body that is too long to buffer, to be streamed from the server.
 #[derive(Debug)]
@@ -30,6 +31,8 @@
     headers: Vec<Header>,
     /// Body, or the buffered start of it.
     pub body: Vec<u8>,
+    /// Reservation of the memory that `body` takes, for answers of servers.
+    pub memory: Option<Reservation>,
     /// Remainder of the body after `body`.
     pub rest: Option<Rest>,
     /// `Content-Length` of an answer to HEAD, which has no body.
@@ -59,6 +62,7 @@
             reason: reason.into(),
             headers: Vec::new(),
             body,
+            memory: None,
             rest: None,
             head_length: None,
             code: None,
@@ -80,6 +84,7 @@
             reason: head.reason,
             headers,
             body,
+            memory: None,
             rest,
             head_length,
             code: None,
@@ -93,6 +98,13 @@
         });
     }
 
+    /// Like [`Answer::encode`], and frees the buffered part of the body.
+    pub fn take_encoded(&mut self, close: bool) -> Vec<u8> {
+        let bytes = self.encode(close);
+        self.body = Vec::new();
+        bytes
+    }
+
     /// Encodes the head and the buffered part of the body. If more of the body follows, the
     /// transfer encoding is chunked.
     pub fn encode(&self, close: bool) -> Vec<u8> {
--- a/components/gateway/src/callers/session.rs
+++ b/components/gateway/src/callers/session.rs
@@ -22,7 +22,7 @@
 /// Bytes that are buffered beyond the requests in progress.
 const READ_AHEAD_BYTES: usize = 64 * 1024;
 /// Bytes of a long body that are buffered for one chunk.
-const STREAM_CHUNK_BYTES: usize = 64 * 1024;
+const STREAM_CHUNK_BYTES: usize = 16 * 1024;
 /// Time limit for writing a response to a caller; longer than the deadlines in use.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time for which input is read and discarded after the write side is closed. Closing with unread
@@ -252,7 +252,7 @@
             return Ok(None);
         };
         Ok(Some(Request {
-            body_memory: self.node.reserve_body(bytes.len()),
+            body_memory: self.node.body_memory.reserve(bytes.len()),
             head,
             body: bytes,
             received_at,
@@ -296,7 +296,7 @@
     }
 
     async fn write(&mut self, mut answer: Answer, close: bool) -> Result<()> {
-        let bytes = answer.encode(close);
+        let bytes = answer.take_encoded(close);
         let rest = answer.rest.take();
         let limit = rest.as_ref().map_or(WRITE_TIMEOUT, |r| {
             r.deadline_at
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Exchange of one request and response with a server or another entry VM.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_lite::{AsyncWriteExt, FutureExt};
@@ -8,12 +9,15 @@
 use crate::dialect::HeaderNames;
 use crate::http::{Body, Connection, Error, Framing, ResponseHead};
 use crate::idle::IdleConnections;
+use crate::memory::{BodyMemory, Reservation};
 
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Bytes of a response body that are buffered before any is sent to the caller. Until then, a
 /// damaged response can be replaced by that of another server.
 const BODY_BUFFER_BYTES: usize = 256 * 1024;
+/// Bytes that are buffered of each response body even if the budget for bodies is used up.
+const MIN_BODY_BUFFER_BYTES: usize = 16 * 1024;
 /// Maximum number of responses read on one connection for one request, including 1xx responses and
 /// those to other requests.
 const MAX_RESPONSE_HEADS: u32 = 8;
@@ -38,6 +42,8 @@
     pub head: ResponseHead,
     /// Body, or its start if `rest` is set.
     pub body: Vec<u8>,
+    /// Reservation of the memory that `body` takes beyond `MIN_BODY_BUFFER_BYTES`.
+    pub memory: Option<Reservation>,
     /// Connection and read state of a body that exceeds the buffer.
     pub rest: Option<(Connection, Body)>,
 }
@@ -77,6 +83,7 @@
     out: &OutgoingRequest<'_>,
     names: &HeaderNames,
     idle: &IdleConnections,
+    budget: &Arc<BodyMemory>,
     now: impl Fn() -> Duration,
 ) -> Result<ReceivedResponse, Failure> {
     let mut request_written = false;
@@ -91,7 +98,7 @@
     let framing = head.framing(out.method).map_err(Failure::Lost)?;
     let mut body = Body::new(framing);
     let mut bytes = Vec::new();
-    body.read(&mut connection, &mut bytes, BODY_BUFFER_BYTES)
+    let memory = read_body(&mut connection, &mut body, &mut bytes, budget)
         .await
         .map_err(Failure::Lost)?;
     if !body.is_complete() {
@@ -99,6 +106,7 @@
         return Ok(ReceivedResponse {
             head,
             body: bytes,
+            memory,
             rest,
         });
     }
@@ -112,10 +120,33 @@
     Ok(ReceivedResponse {
         head,
         body: bytes,
+        memory,
         rest: None,
     })
 }
 
+/// Reads a body until it is complete, or as far as it may be buffered. Returns the reservation of the
+/// memory that it takes.
+async fn read_body(
+    connection: &mut Connection,
+    body: &mut Body,
+    out: &mut Vec<u8>,
+    budget: &Arc<BodyMemory>,
+) -> Result<Option<Reservation>, Error> {
+    body.read(connection, out, MIN_BODY_BUFFER_BYTES).await?;
+    let mut memory = budget.reserve(0);
+    while !body.is_complete() && out.len() < BODY_BUFFER_BYTES {
+        // The buffer doubles when it is full.
+        let wanted = out.len();
+        if !memory.as_mut().is_some_and(|m| m.grow(wanted)) {
+            break;
+        }
+        let limit = (out.len() + wanted).min(BODY_BUFFER_BYTES);
+        body.read(connection, out, limit).await?;
+    }
+    Ok(memory)
+}
+
 /// Writes the request and reads the response concurrently, since a server may respond before it has
 /// read a long body.
 async fn send_and_read_head(
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod freshness;
 mod http;
 mod idle;
+mod memory;
 mod message;
 mod node;
 mod relay;
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -13,11 +13,11 @@
 use crate::dialect::Dialect;
 use crate::dispatcher::Dispatcher;
 use crate::idle::IdleConnections;
+use crate::memory::BodyMemory;
 use crate::settings::Settings;
 
-/// Limit for all buffered request bodies together; a quarter of the memory of the smallest entry
-/// VM.
-const MAX_BODY_MEMORY_BYTES: usize = 40 * 1024 * 1024;
+/// Part of the memory that bodies of requests and responses may take.
+const BODY_MEMORY_FRACTION: f64 = 0.4;
 /// Fraction of the configured cold rate that a pool admits to a cold server. The platform tolerates
 /// 1.5 times the configured rate plus a slack, so a short time with two pool owners stays within
 /// the limit.
@@ -41,7 +41,8 @@
     /// Longest deadline seen on each route, by route name. A caller's retries have less time
     /// left, so the longest deadline is that of first attempts.
     longest_deadlines: Mutex<HashMap<Box<str>, Duration>>,
-    body_bytes: AtomicUsize,
+    /// Budget for the bodies of requests and responses.
+    pub(crate) body_memory: Arc<BodyMemory>,
     open_requests: AtomicUsize,
     leaving_since: Mutex<Option<Duration>>,
     /// Channel that is closed to make the callers' sessions close their idle connections.
@@ -56,6 +57,7 @@
         dispatcher: Arc<Dispatcher>,
     ) -> Arc<Self> {
         let (tx, rx) = async_channel::bounded(1);
+        let body_memory = (settings.memory as f64 * BODY_MEMORY_FRACTION) as usize;
         Arc::new(Node {
             settings: Mutex::new(Arc::new(settings)),
             dialect,
@@ -64,7 +66,7 @@
             routes: Mutex::new(None),
             servers_listed: AtomicBool::new(false),
             longest_deadlines: Mutex::default(),
-            body_bytes: AtomicUsize::new(0),
+            body_memory: BodyMemory::new(body_memory),
             open_requests: AtomicUsize::new(0),
             leaving_since: Mutex::new(None),
             idle_close_signal: (Mutex::new(Some(tx)), rx),
@@ -283,17 +285,6 @@
     pub fn open_requests(&self) -> usize {
         self.open_requests.load(Ordering::Relaxed)
     }
-
-    /// Reserves memory for a request body until the guard is dropped. Returns `None` if the limit
-    /// for all bodies is exceeded.
-    pub fn reserve_body(self: &Arc<Self>, bytes: usize) -> Option<BodyMemory> {
-        let held = self.body_bytes.fetch_add(bytes, Ordering::Relaxed);
-        let guard = BodyMemory {
-            node: self.clone(),
-            bytes,
-        };
-        (held + bytes <= MAX_BODY_MEMORY_BYTES).then_some(guard)
-    }
 }
 
 /// Keeps a request counted as open.
@@ -308,21 +299,6 @@
     }
 }
 
-/// Memory reserved for a request body.
-#[derive(Debug)]
-pub struct BodyMemory {
-    node: Arc<Node>,
-    bytes: usize,
-}
-
-impl Drop for BodyMemory {
-    fn drop(&mut self) {
-        self.node
-            .body_bytes
-            .fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -17,7 +17,8 @@
 use crate::codes::Code;
 use crate::dispatcher::{Admission, SlotRequest};
 use crate::http::RequestHead;
-use crate::node::{BodyMemory, Node};
+use crate::memory::Reservation;
+use crate::node::Node;
 use attempt::Step;
 use trace::Trace;
 
@@ -59,7 +60,7 @@
     pub head: RequestHead,
     pub body: Vec<u8>,
     /// Reservation of the memory that `body` takes; `None` if the entry VM's limit is reached.
-    pub body_memory: Option<BodyMemory>,
+    pub body_memory: Option<Reservation>,
     /// Uptime at which the head was complete.
     pub received_at: Duration,
     pub origin: Origin,
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -222,7 +222,11 @@
     };
     let names = &node.dialect.headers;
     sent.store(true, Ordering::Relaxed);
-    exchange(connection, &outgoing, names, &node.idle, || node.now()).await
+    let budget = &node.body_memory;
+    exchange(connection, &outgoing, names, &node.idle, budget, || {
+        node.now()
+    })
+    .await
 }
 
 /// Returns whether a response states that the server did not run the request. The status alone does
@@ -381,7 +385,8 @@
     let complete = rest.is_none();
     let mut head = received.head;
     head.headers.retain(|h| !is_own_header(&h.name));
-    let answer = Answer::passed_on(head, &method, received.body, rest);
+    let mut answer = Answer::passed_on(head, &method, received.body, rest);
+    answer.memory = received.memory;
     if failed && may_retry && complete {
         history.last_error = Some(answer);
         return Step::Retry;
--- a/components/gateway/src/relay/forward.rs
+++ b/components/gateway/src/relay/forward.rs
@@ -65,12 +65,10 @@
                 deadline_at: plan.deadline_at,
                 _slot: None,
             });
-            Step::done(Answer::passed_on(
-                received.head,
-                &req.head.method,
-                received.body,
-                rest,
-            ))
+            let method = &req.head.method;
+            let mut answer = Answer::passed_on(received.head, method, received.body, rest);
+            answer.memory = received.memory;
+            Step::done(answer)
         }
         Some(Err(Failure::Unreachable(e))) => {
             trace.record_failure(region, "forward_unreachable", &e.to_string(), elapsed);
@@ -115,5 +113,9 @@
     };
     let names = &node.dialect.headers;
     sent.store(true, Ordering::Relaxed);
-    exchange(connection, &outgoing, names, &node.idle, || node.now()).await
+    let budget = &node.body_memory;
+    exchange(connection, &outgoing, names, &node.idle, budget, || {
+        node.now()
+    })
+    .await
 }
--- a/components/gateway/src/settings.rs
+++ b/components/gateway/src/settings.rs
@@ -32,6 +32,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Processor and link of this entry VM; `None` if they are not known.
     pub capacity: Option<Capacity>,
+    /// Memory limit of the process, in bytes.
+    pub memory: usize,
     /// Time between SIGTERM and SIGKILL.
     pub grace_period: Duration,
     /// Time for which callers may cache the answer to a look-up.
@@ -62,6 +64,7 @@
             metrics: unset,
             seeds: Vec::new(),
             capacity: None,
+            memory: 160 << 20,
             grace_period: Duration::from_secs(6),
             look_up_lifetime: Duration::from_secs(2),
             max_shift: 0.15,
@@ -74,7 +77,7 @@
 
 impl Settings {
     /// Returns the settings that apply after a reload of `new`. The id, the failure domain, the
-    /// region, the listen addresses and the capacity only change at the next start.
+    /// region, the listen addresses, the capacity and the memory only change at the next start.
     #[must_use]
     pub fn updated(&self, new: &Settings) -> Settings {
         Settings {
@@ -87,6 +90,7 @@
             peers: self.peers,
             metrics: self.metrics,
             capacity: self.capacity,
+            memory: self.memory,
             ..new.clone()
         }
     }
--- a/components/standins/src/store/mod.rs
+++ b/components/standins/src/store/mod.rs
@@ -35,11 +35,23 @@
     Slow(Duration),
     /// Responds 429 to calls beyond this number per second.
     Rate(u32),
+    /// Sends a response without end to every call, which has no effect.
+    Endless(EndlessPart),
     /// Never responds to calls that arrive or become due meanwhile, and keeps their connections
     /// open; calls have no effect.
     Silent,
 }
 
+/// Part of a response that has no end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndlessPart {
+    Head,
+    Body,
+    /// The pages of a list; each is a complete response with rows that the others do not have. Feeds
+    /// respond 410, so that clients list.
+    Pages,
+}
+
 /// Handle of a store stand-in; clones share its state.
 #[derive(Clone, Debug)]
 pub struct StoreStandIn {
--- a/components/standins/src/store/serve.rs
+++ b/components/standins/src/store/serve.rs
@@ -8,8 +8,12 @@
 
 use serde_json::{Value, json};
 
-use super::{Shared, State, StoreFault};
+use super::{EndlessPart, Shared, State, StoreFault};
 
+/// Bytes of one write of a response without end.
+const ENDLESS_WRITE_BYTES: usize = 64 * 1024;
+/// Rows and bytes of each value in a page of a list without end.
+const ENDLESS_PAGE: (u32, usize) = (500, 1500);
 /// Limit of `wait-ms`.
 const MAX_FEED_WAIT: Duration = Duration::from_secs(30);
 
@@ -19,6 +23,9 @@
     Response(u16, Value),
     /// Its connection is closed without a response.
     Close,
+    /// It gets the start of a response, and the rest again and again until the client closes the
+    /// connection.
+    Endless(&'static str, &'static str),
     /// It gets no response, and its connection stays open.
     Silence,
 }
@@ -38,6 +45,16 @@
     let (status, value) = match respond(&request, shared) {
         Outcome::Response(status, value) => (status, value),
         Outcome::Close => return,
+        Outcome::Endless(start, repeated) => {
+            let mut sent = stream.write_all(start.as_bytes());
+            let bytes = repeated
+                .as_bytes()
+                .repeat(ENDLESS_WRITE_BYTES / repeated.len());
+            while sent.is_ok() {
+                sent = stream.write_all(&bytes);
+            }
+            return;
+        }
         Outcome::Silence => {
             // Returns when the client closes the connection.
             let _ = stream.read(&mut [0]);
@@ -73,6 +90,19 @@
         match state.fault {
             Some(StoreFault::Refuse(status)) => return Outcome::Response(status, json!({})),
             Some(StoreFault::Reset) => return Outcome::Close,
+            Some(StoreFault::Endless(EndlessPart::Head)) => {
+                return Outcome::Endless("HTTP/1.1 200 OK\r\n", "A: b\r\n");
+            }
+            Some(StoreFault::Endless(EndlessPart::Body)) => {
+                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                return Outcome::Endless(head, "4\r\n    \r\n");
+            }
+            Some(StoreFault::Endless(EndlessPart::Pages)) => {
+                return match &*request.path {
+                    "/rosemaryglade/rows-get" => Outcome::Response(200, endless_page(request)),
+                    _ => Outcome::Response(410, json!({})),
+                };
+            }
             Some(StoreFault::Garbage) => return Outcome::Response(200, Value::Null),
             _ => {}
         }
@@ -97,6 +127,18 @@
     }
 }
 
+/// Returns the page of a list without end that begins after the `range-start` of a call.
+fn endless_page(request: &Request) -> Value {
+    let start = request.query.get("range-start").map_or("", String::as_str);
+    let first: u32 = start.parse().unwrap_or(0);
+    let value = "A".repeat(ENDLESS_PAGE.1);
+    let keys = (1..=ENDLESS_PAGE.0).map(|i| format!("{:010}", first + i));
+    let rows: Vec<Value> = keys
+        .map(|key| json!({"key": key, "value": value, "version-number": 1}))
+        .collect();
+    json!({"rows": rows, "version-number": 1_000_000, "has-more": true})
+}
+
 impl State {
     /// Executes a call; returns `None` if a feed has no changes yet.
     fn handle(&mut self, request: &Request) -> Option<(u16, Value)> {
