Count answers as open work until they are written

Cause: a request was open only while it was relayed, up to the head and 256 KiB of the answer.

Node::has_open_work states when the process may end: nothing is being relayed, and no connection has answers that are not written completely.

--- a/components/gateway/src/callers/session.rs
+++ b/components/gateway/src/callers/session.rs
@@ -14,7 +14,7 @@
 use crate::answer::{Answer, Rest, append_chunk};
 use crate::codes::Code;
 use crate::http::{Body, Connection, Error, RequestHead, Result};
-use crate::node::Node;
+use crate::node::{BusyConnectionGuard, Node};
 use crate::relay::{Origin, Request, is_binding, relay};
 
 /// Maximum number of pipelined requests of one connection that are handled concurrently.
@@ -45,6 +45,9 @@
     /// Whether reading of requests has ended because the connection closes after a pending
     /// response.
     stop_reading: bool,
+    /// Set from the first pending response until the last one is written, and received if the
+    /// connection closes.
+    busy: Option<BusyConnectionGuard>,
     /// Uptime at which the connection became idle, or at which the first bytes of a head arrived.
     state_since: Duration,
 }
@@ -93,6 +96,7 @@
             incoming: Incoming::Idle,
             pending: VecDeque::new(),
             stop_reading: false,
+            busy: None,
         }
     }
 
@@ -110,6 +114,7 @@
         loop {
             self.read_requests();
             self.start_first();
+            self.update_busy();
             match self.next_event().await {
                 Event::Answer(answer) => {
                     // A stopping process answers the requests that it has taken, and no more.
@@ -289,6 +294,14 @@
         }
     }
 
+    fn update_busy(&mut self) {
+        if self.pending.is_empty() {
+            self.busy = None;
+        } else if self.busy.is_none() {
+            self.busy = Some(self.node.count_busy_connection());
+        }
+    }
+
     /// Adds a response; `close` states whether the connection is closed after it.
     fn push_answer(&mut self, source: AnswerSource, close: bool) {
         self.stop_reading |= close;
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -52,7 +52,7 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time limit of such an attempt, as for a connection for a request.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time between checks for open requests during a graceful stop.
+/// Time between checks for open work during a graceful stop.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Starts an entry VM. It becomes ready once it has a configuration and a complete list of servers.
@@ -151,7 +151,7 @@
     let earliest = started + grace.mul_f64(MIN_STOP_FRACTION);
     let latest = (started + grace).saturating_sub(EXIT_MARGIN);
     while node.now() < latest {
-        if node.now() >= earliest && node.open_requests() == 0 {
+        if node.now() >= earliest && !node.has_open_work() {
             break;
         }
         runtime::sleep(STOP_POLL_INTERVAL).await;
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -44,6 +44,8 @@
     /// Budget for the bodies of requests and responses.
     pub(crate) body_memory: Arc<BodyMemory>,
     open_requests: AtomicUsize,
+    /// Connections with requests that are not answered completely.
+    busy_connections: AtomicUsize,
     leaving_since: Mutex<Option<Duration>>,
     /// Channel that is closed to make the callers' sessions close their idle connections.
     idle_close_signal: (Mutex<Option<Sender<()>>>, Receiver<()>),
@@ -68,6 +70,7 @@
             longest_deadlines: Mutex::default(),
             body_memory: BodyMemory::new(body_memory),
             open_requests: AtomicUsize::new(0),
+            busy_connections: AtomicUsize::new(0),
             leaving_since: Mutex::new(None),
             idle_close_signal: (Mutex::new(Some(tx)), rx),
         })
@@ -276,6 +279,18 @@
         longest.saturating_sub(deadline)
     }
 
+    /// Whether the process must not end yet in a graceful stop: a request is being relayed, also
+    /// without its caller, or the last byte of an answer is not written and received.
+    pub fn has_open_work(&self) -> bool {
+        self.open_requests() > 0 || self.busy_connections.load(Ordering::Relaxed) > 0
+    }
+
+    /// Counts a connection as busy until the guard is dropped.
+    pub fn count_busy_connection(self: &Arc<Self>) -> BusyConnectionGuard {
+        self.busy_connections.fetch_add(1, Ordering::Relaxed);
+        BusyConnectionGuard { node: self.clone() }
+    }
+
     /// Counts an open request until the guard is dropped.
     pub fn count_request(self: &Arc<Self>) -> OpenRequestGuard {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
@@ -287,6 +302,18 @@
     }
 }
 
+/// Keeps a connection counted as busy.
+#[derive(Debug)]
+pub struct BusyConnectionGuard {
+    node: Arc<Node>,
+}
+
+impl Drop for BusyConnectionGuard {
+    fn drop(&mut self) {
+        self.node.busy_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Keeps a request counted as open.
 #[derive(Debug)]
 pub struct OpenRequestGuard {
--- a/components/gateway/tests/relay/stop.rs
+++ b/components/gateway/tests/relay/stop.rs
@@ -1,10 +1,10 @@
 //! Graceful stop of an entry VM.
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::Ordering;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::harness::{
     ServerAction, TestEntryVm, TestServer, header_value, ok_response, read_response, request,
@@ -184,6 +184,52 @@
     }
 }
 
+/// Guards against a stop that ends the process while an answer is still being streamed (review
+/// case 3).
+#[test]
+fn streamed_answer_is_completed_during_a_stop() {
+    const PART_BYTES: usize = 300_000;
+    const PARTS: usize = 4;
+    // Time that the reader may take once all is written; a part takes four times as long.
+    const RECEIVE_SLACK: Duration = Duration::from_millis(200);
+    const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
+    let server = TestServer::start(|_, id| {
+        let length = PARTS * PART_BYTES;
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signature: s\r\nContent-Length: {length}\r\n\r\n"
+        );
+        let mut actions = vec![ServerAction::Send(head.into_bytes())];
+        for _ in 0..PARTS {
+            actions.push(ServerAction::Send(vec![b'x'; PART_BYTES]));
+            actions.push(ServerAction::Wait(Duration::from_millis(800)));
+        }
+        actions
+    });
+    let entry_vm = TestEntryVm::start(&[&server]);
+    let mut stream = entry_vm.connect();
+    let req = request_with_deadline("POST", "/long/1", "a1", 5000);
+    stream.write_all(&req).unwrap();
+    let reader = thread::spawn(move || {
+        let (mut bytes, mut buf) = (Vec::new(), vec![0; 65_536]);
+        while !bytes.ends_with(LAST_CHUNK)
+            && let Ok(n @ 1..) = stream.read(&mut buf)
+        {
+            bytes.extend_from_slice(&buf[..n]);
+        }
+        (bytes, Instant::now())
+    });
+    thread::sleep(Duration::from_millis(200));
+    start_stop(&entry_vm).join().unwrap();
+    let process_end = Instant::now();
+    let (bytes, received_at) = reader.join().unwrap();
+    assert!(bytes.ends_with(LAST_CHUNK));
+    let late = received_at.saturating_duration_since(process_end);
+    assert!(
+        late < RECEIVE_SLACK,
+        "the process ends {late:?} before the answer"
+    );
+}
+
 /// Guards against a stop that refuses what can still be answered, so that callers with an older
 /// look-up response are turned away for the whole grace period.
 #[test]
