Reserve memory for the bodies of requests before they arrive

What does not fit is refused at once as not run, with Retry-After, and its rest discarded. Long bodies are sent without a copy.

--- a/components/gateway/src/callers/session.rs
+++ b/components/gateway/src/callers/session.rs
@@ -13,7 +13,8 @@
 
 use crate::answer::{Answer, Rest, append_chunk};
 use crate::codes::Code;
-use crate::http::{Body, Connection, Error, RequestHead, Result};
+use crate::http::{Body, Connection, Error, Framing, RequestHead, Result};
+use crate::memory::Reservation;
 use crate::node::{BusyConnectionGuard, Node};
 use crate::relay::{Origin, Request, is_binding, relay};
 
@@ -31,6 +32,9 @@
 /// Idle time before which a stopping process does not close a connection; a new one is probably about
 /// to carry a request.
 const MIN_IDLE_AT_STOP: Duration = Duration::from_millis(500);
+/// `Retry-After` of a request whose body does not fit into the memory; about the time in which an
+/// upload ends.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time limit for receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -60,6 +64,17 @@
         head: RequestHead,
         body: Body,
         bytes: Vec<u8>,
+        /// Reservation of the memory for the whole body if its length is known, otherwise for what
+        /// has been received.
+        memory: Reservation,
+        /// Whether the length is not known.
+        grows: bool,
+        received_at: Duration,
+    },
+    /// The request has been refused; its body is discarded, so that the caller reads the answer and
+    /// can go on with the connection.
+    RefusedBody {
+        body: Body,
         received_at: Duration,
     },
 }
@@ -193,7 +208,9 @@
         Some(match &self.incoming {
             Incoming::Idle => (self.state_since + limits.idle_timeout, true),
             Incoming::Head => (self.state_since + limits.head_timeout, false),
-            Incoming::Body { received_at, .. } => (*received_at + BODY_TIMEOUT, false),
+            Incoming::Body { received_at, .. } | Incoming::RefusedBody { received_at, .. } => {
+                (*received_at + BODY_TIMEOUT, false)
+            }
         })
     }
 
@@ -217,10 +234,11 @@
         }
     }
 
-    /// Takes a request out of the buffer; `None` if it is not complete.
+    /// Takes a request out of the buffer; `None` if it is not complete. A request whose body does not
+    /// fit into the memory is answered at once.
     fn read_request(&mut self) -> Result<Option<Request>> {
         let limits = self.node.limits();
-        if !matches!(self.incoming, Incoming::Body { .. }) {
+        if matches!(self.incoming, Incoming::Idle | Incoming::Head) {
             let Some(head) = self.connection.parse_request_head(limits.head_bytes)? else {
                 let started = !self.connection.buffered().is_empty();
                 if started && matches!(self.incoming, Incoming::Idle) {
@@ -229,27 +247,40 @@
                 }
                 return Ok(None);
             };
-            let body = Body::new(head.framing()?);
-            self.incoming = Incoming::Body {
-                head,
-                body,
-                bytes: Vec::new(),
-                received_at: self.node.now(),
-            };
+            self.begin_body(head, limits.body_bytes)?;
         }
-        let Incoming::Body { body, bytes, .. } = &mut self.incoming else {
+        if let Incoming::Body {
+            body,
+            bytes,
+            memory,
+            grows,
+            ..
+        } = &mut self.incoming
+        {
+            if !*grows || memory.grow_to(bytes.len() + self.connection.unconsumed_len()) {
+                body.advance(&mut self.connection, bytes)?;
+                if bytes.len() > limits.body_bytes {
+                    return Err(Error::BodyTooLong);
+                }
+            } else {
+                self.refuse_body();
+            }
+        }
+        if let Incoming::RefusedBody { body, .. } = &mut self.incoming {
+            body.advance(&mut self.connection, &mut Vec::new())?;
+            if body.is_complete() {
+                self.incoming = Incoming::Idle;
+                self.state_since = self.node.now();
+            }
             return Ok(None);
-        };
-        body.advance(&mut self.connection, bytes)?;
-        if bytes.len() > limits.body_bytes {
-            return Err(Error::BodyTooLong);
         }
-        if !body.is_complete() {
+        if matches!(&self.incoming, Incoming::Body { body, .. } if !body.is_complete()) {
             return Ok(None);
         }
         let Incoming::Body {
             head,
             bytes,
+            memory,
             received_at,
             ..
         } = std::mem::replace(&mut self.incoming, Incoming::Idle)
@@ -257,26 +288,73 @@
             return Ok(None);
         };
         Ok(Some(Request {
-            body_memory: self.node.body_memory.reserve(bytes.len()),
             head,
             body: bytes,
+            _memory: memory,
             received_at,
             origin: self.origin,
         }))
     }
 
+    /// Begins to receive the body of a request, for which the memory is reserved if its length is
+    /// known.
+    fn begin_body(&mut self, head: RequestHead, max_bytes: usize) -> Result<()> {
+        let framing = head.framing()?;
+        let length = match framing {
+            Framing::Length(n) => usize::try_from(n).map_err(|_| Error::BodyTooLong)?,
+            Framing::Chunked | Framing::UntilClose => 0,
+        };
+        if length > max_bytes {
+            return Err(Error::BodyTooLong);
+        }
+        let mut memory = self.node.body_memory.reservation();
+        let fits = memory.grow(length);
+        self.incoming = Incoming::Body {
+            head,
+            body: Body::new(framing),
+            bytes: Vec::with_capacity(if fits { length } else { 0 }),
+            memory,
+            grows: framing == Framing::Chunked,
+            received_at: self.node.now(),
+        };
+        if !fits {
+            self.refuse_body();
+        }
+        Ok(())
+    }
+
+    /// Answers the request whose body is being received that there is no memory for it.
+    fn refuse_body(&mut self) {
+        let Incoming::Body {
+            head,
+            body,
+            received_at,
+            ..
+        } = std::mem::replace(&mut self.incoming, Incoming::Idle)
+        else {
+            return;
+        };
+        self.incoming = Incoming::RefusedBody { body, received_at };
+        let mut answer = Answer::own(Code::NoMemory, Some(NO_MEMORY_RETRY_AFTER));
+        let name = self.node.dialect.headers.request_id;
+        let id = head.get(name).unwrap_or("none");
+        answer.add(name, id);
+        metrics::counter!("gateway_bodies_refused_total").increment(1);
+        log::info!(
+            "event=body_refused id={id} length={} held_bytes={} budget_bytes={}",
+            head.get("content-length").unwrap_or("unknown"),
+            self.node.body_memory.held(),
+            self.node.body_memory.limit()
+        );
+        let source = AnswerSource::Ready(Some(Box::new(answer)));
+        self.push_answer(source, !head.keeps_alive());
+    }
+
     /// Starts a request, unless it is binding and others are ahead of it.
     fn start_request(&mut self, req: Request) {
         let close = !req.head.keeps_alive();
         let routes = self.node.routes();
-        let source = if req.body_memory.is_none() {
-            let mut answer = Answer::own(Code::NoMemory, None);
-            let name = self.node.dialect.headers.request_id;
-            if let Some(id) = req.head.get(name) {
-                answer.add(name, id);
-            }
-            AnswerSource::Ready(Some(Box::new(answer)))
-        } else if !self.pending.is_empty() && is_binding(routes.as_deref(), &req.head) {
+        let source = if !self.pending.is_empty() && is_binding(routes.as_deref(), &req.head) {
             AnswerSource::NotStarted(Box::new(req))
         } else {
             AnswerSource::start(self.node.clone(), req, routes)
@@ -351,6 +429,10 @@
 
     /// Closes the write side and discards input, so that the caller can read what was sent.
     async fn linger(&mut self) -> Result<()> {
+        let limit = match self.incoming {
+            Incoming::RefusedBody { .. } => BODY_TIMEOUT,
+            _ => LINGER_TIMEOUT,
+        };
         self.connection.stream().shutdown(Shutdown::Write)?;
         let draining = async {
             while self.connection.fill().await? > 0 {
@@ -358,9 +440,7 @@
             }
             Ok(())
         };
-        runtime::timeout(LINGER_TIMEOUT, draining)
-            .await
-            .unwrap_or(Ok(()))
+        runtime::timeout(limit, draining).await.unwrap_or(Ok(()))
     }
 }
 
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -30,8 +30,10 @@
     pub method: &'a str,
     /// Request id that the response must carry.
     pub id: &'a str,
-    /// Encoded head and body.
+    /// Encoded head, with the body if that is short.
     pub bytes: Vec<u8>,
+    /// A longer body, which is not copied.
+    pub body: &'a [u8],
     /// Whether a 2xx response must carry a server's signature.
     pub require_signature: bool,
 }
@@ -43,7 +45,7 @@
     /// Body, or its start if `rest` is set.
     pub body: Vec<u8>,
     /// Reservation of the memory that `body` takes beyond `MIN_BODY_BUFFER_BYTES`.
-    pub memory: Option<Reservation>,
+    pub memory: Reservation,
     /// Connection and read state of a body that exceeds the buffer.
     pub rest: Option<(Connection, Body)>,
 }
@@ -132,13 +134,13 @@
     body: &mut Body,
     out: &mut Vec<u8>,
     budget: &Arc<BodyMemory>,
-) -> Result<Option<Reservation>, Error> {
+) -> Result<Reservation, Error> {
     body.read(connection, out, MIN_BODY_BUFFER_BYTES).await?;
-    let mut memory = budget.reserve(0);
+    let mut memory = budget.reservation();
     while !body.is_complete() && out.len() < BODY_BUFFER_BYTES {
         // The buffer doubles when it is full.
         let wanted = out.len();
-        if !memory.as_mut().is_some_and(|m| m.grow(wanted)) {
+        if !memory.grow(wanted) {
             break;
         }
         let limit = (out.len() + wanted).min(BODY_BUFFER_BYTES);
@@ -157,7 +159,11 @@
 ) -> Result<ResponseHead, Error> {
     let mut stream = connection.stream();
     let write = async {
-        match stream.write_all(&out.bytes).await {
+        let written = async {
+            stream.write_all(&out.bytes).await?;
+            stream.write_all(out.body).await
+        };
+        match written.await {
             Ok(()) => *request_written = true,
             // The response may have arrived before the failure; the read shows that.
             Err(e) => log::debug!("event=request_write_failed id={} error=\"{e}\"", out.id),
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -59,8 +59,8 @@
 pub struct Request {
     pub head: RequestHead,
     pub body: Vec<u8>,
-    /// Reservation of the memory that `body` takes; `None` if the entry VM's limit is reached.
-    pub body_memory: Option<Reservation>,
+    /// Reservation of the memory that `body` takes.
+    pub _memory: Reservation,
     /// Uptime at which the head was complete.
     pub received_at: Duration,
     pub origin: Origin,
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -213,11 +213,13 @@
     if !allowed || remaining < MIN_SENT_DEADLINE {
         return Err(Failure::Withdrawn);
     }
+    let (bytes, body) = encode(node, req, plan, Some(&server), remaining);
     let outgoing = OutgoingRequest {
         address,
         method: &req.head.method,
         id: &plan.id,
-        bytes: encode(node, req, plan, Some(&server), remaining),
+        bytes,
+        body,
         require_signature: true,
     };
     let names = &node.dialect.headers;
@@ -386,7 +388,7 @@
     let mut head = received.head;
     head.headers.retain(|h| !is_own_header(&h.name));
     let mut answer = Answer::passed_on(head, &method, received.body, rest);
-    answer.memory = received.memory;
+    answer.memory = Some(received.memory);
     if failed && may_retry && complete {
         history.last_error = Some(answer);
         return Step::Retry;
--- a/components/gateway/src/relay/encode.rs
+++ b/components/gateway/src/relay/encode.rs
@@ -7,14 +7,18 @@
 use crate::http::is_hop_by_hop;
 use crate::node::Node;
 
+/// Longest body that is encoded together with the head; a longer one would double the memory.
+const MAX_ENCODED_BODY: usize = 16 * 1024;
+
 /// Encodes the request for a server, or for an entry VM of another region if `server` is `None`.
-pub(super) fn encode(
+/// Returns the bytes, and the body if it is to be sent after them.
+pub(super) fn encode<'a>(
     node: &Node,
-    req: &Request,
+    req: &'a Request,
     plan: &Plan,
     server: Option<&str>,
     remaining: Duration,
-) -> Vec<u8> {
+) -> (Vec<u8>, &'a [u8]) {
     let names = &node.dialect.headers;
     let head = &req.head;
     let dropped = [
@@ -26,7 +30,12 @@
         WAITED_HEADER,
         GENERATION_HEADER,
     ];
-    let mut out = Vec::with_capacity(512 + req.body.len());
+    let (encoded_body, body) = if req.body.len() <= MAX_ENCODED_BODY {
+        (&req.body[..], &[][..])
+    } else {
+        (&[][..], &req.body[..])
+    };
+    let mut out = Vec::with_capacity(512 + encoded_body.len());
     // Writing to a vector cannot fail.
     let _ = write!(out, "{} {} HTTP/1.1\r\n", head.method, head.target);
     for h in &head.headers {
@@ -56,6 +65,6 @@
         let _ = write!(out, "Content-Length: {}\r\n", req.body.len());
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(&req.body);
-    out
+    out.extend_from_slice(encoded_body);
+    (out, body)
 }
--- a/components/gateway/src/relay/forward.rs
+++ b/components/gateway/src/relay/forward.rs
@@ -67,7 +67,7 @@
             });
             let method = &req.head.method;
             let mut answer = Answer::passed_on(received.head, method, received.body, rest);
-            answer.memory = received.memory;
+            answer.memory = Some(received.memory);
             Step::done(answer)
         }
         Some(Err(Failure::Unreachable(e))) => {
@@ -104,11 +104,13 @@
     if remaining < MIN_SENT_DEADLINE {
         return Err(Failure::Withdrawn);
     }
+    let (bytes, body) = encode(node, req, plan, None, remaining);
     let outgoing = OutgoingRequest {
         address: peer,
         method: &req.head.method,
         id: &plan.id,
-        bytes: encode(node, req, plan, None, remaining),
+        bytes,
+        body,
         require_signature: false,
     };
     let names = &node.dialect.headers;
