Read long heads to their end, and less ahead of a pipeline

A head that the configuration allows was not read to its end beyond 64 KiB: the connection waited until the time limit for heads and closed.

Cause: the limit for what is read ahead of pending responses applied without any as well.

long_head_within_the_limit_is_read failed before and passes.

--- a/components/gateway/src/callers/session.rs
+++ b/components/gateway/src/callers/session.rs
@@ -20,8 +20,8 @@
 
 /// Maximum number of pipelined requests of one connection that are handled concurrently.
 const MAX_PIPELINED_REQUESTS: usize = 8;
-/// Bytes that are buffered beyond the requests in progress.
-const READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Bytes that are buffered of further requests while responses are pending.
+const READ_AHEAD_BYTES: usize = 16 * 1024;
 /// Bytes of a long body that are buffered for one chunk.
 const STREAM_CHUNK_BYTES: usize = 16 * 1024;
 /// Time limit for writing a response to a caller; longer than the deadlines in use.
@@ -154,7 +154,9 @@
         let idle_stop = self.node.idle_close_signal();
         let close_deadline = self.close_deadline();
         let now = self.node.now();
-        let read_more = !self.stop_reading && self.connection.unconsumed_len() < READ_AHEAD_BYTES;
+        let may_buffer =
+            self.pending.is_empty() || self.connection.unconsumed_len() < READ_AHEAD_BYTES;
+        let read_more = !self.stop_reading && may_buffer;
         let Session {
             connection,
             pending,
--- a/components/gateway/tests/relay/callers.rs
+++ b/components/gateway/tests/relay/callers.rs
@@ -88,6 +88,25 @@
     assert_eq!(server.count(), 0);
 }
 
+/// Guards against a head within the limit of the configuration that is not read to its end, because it
+/// is longer than what is read ahead.
+#[test]
+fn long_head_within_the_limit_is_read() {
+    let server = TestServer::start(|_, id| ok_response(id, "done"));
+    let entry_vm = TestEntryVm::start(&[&server]);
+    let mut routes = (*entry_vm.node.routes().unwrap()).clone();
+    routes.generation += 1;
+    routes.limits.head_bytes = 200_000;
+    assert!(entry_vm.node.set_routes(routes));
+    let mut stream = entry_vm.connect();
+    let head = String::from_utf8(request("GET", "/read/1", "a1")).unwrap();
+    let field = format!("X-Long: {}\r\n\r\n", "x".repeat(150_000));
+    stream.write_all(head.trim_end().as_bytes()).unwrap();
+    stream.write_all(b"\r\n").unwrap();
+    stream.write_all(field.as_bytes()).unwrap();
+    assert_eq!(read_response(&mut stream).expect("response").0, 200);
+}
+
 /// Guards against a chunked request body that arrives in pieces and is lost or changed.
 #[test]
 fn chunked_request_body_is_complete() {
