--- a/components/gateway/tests/relay/callers.rs
+++ b/components/gateway/tests/relay/callers.rs
@@ -107,6 +107,42 @@
     assert_eq!(read_response(&mut stream).expect("response").0, 200);
 }
 
+/// Guards against a request that waits behind the body of a refused one, which was discarded.
+#[test]
+fn request_behind_a_refused_body_is_answered() {
+    let server = TestServer::start(|_, id| ok_response(id, "done"));
+    let entry_vm = TestEntryVm::start(&[&server]);
+    // Most of the budget for bodies, 0.4 of 160 MiB, is reserved by a body that does not arrive.
+    let upload = |length: usize, id: &str| {
+        format!(
+            "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: {id}\r\n\
+             Content-Length: {length}\r\n\r\n"
+        )
+    };
+    let mut waiting = entry_vm.connect();
+    waiting
+        .write_all(upload(60_000_000, "a1").as_bytes())
+        .unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    let mut stream = entry_vm.connect();
+    stream
+        .write_all(upload(20_000_000, "a2").as_bytes())
+        .unwrap();
+    let (status, head, _) = read_response(&mut stream).expect("refusal");
+    assert_eq!(status, 503, "{head}");
+    assert!(
+        head.contains("x-outcome: not-run") && head.contains("Retry-After: 1"),
+        "{head}"
+    );
+    let mut rest = vec![b'x'; 20_000_000];
+    rest.extend_from_slice(&request("GET", "/read/1", "a3"));
+    stream.write_all(&rest).unwrap();
+    let (status, head, _) = read_response(&mut stream).expect("response");
+    assert_eq!(status, 200, "{head}");
+    assert!(head.contains("a3"), "{head}");
+    assert_eq!(server.count(), 1);
+}
+
 /// Guards against a chunked request body that arrives in pieces and is lost or changed.
 #[test]
 fn chunked_request_body_is_complete() {
