--- a/components/gateway/src/callers/session/receive.rs
+++ b/components/gateway/src/callers/session/receive.rs
@@ -1,4 +1,4 @@
-//! Receiving of requests and of the memory for their bodies.
+//! Receiving of requests, within the memory for their bodies.
 
 use std::time::Duration;
 
@@ -9,8 +9,7 @@
 use crate::memory::Reservation;
 use crate::relay::Request;
 
-/// `Retry-After` of a request whose body does not fit into the memory; about the time in which an
-/// upload ends.
+/// `Retry-After` of a request whose body does not fit into the memory.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// State of the request that is being received.
 pub(super) enum Incoming {
