Log the connection of each refusal and its earlier requests

Cause: the log showed a server's refusal only as not_run in the attempts of its request, so that a refusal of this request could not be told from a copy of an earlier one: neither the connection nor the requests sent on it before were known.

New event attempt_refused, for servers, hedges and other entry VMs; foreign_answer names the connection and whether the other id was sent on it before. No decision changes.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -7,7 +7,7 @@
 use futures_lite::{AsyncWriteExt, FutureExt};
 
 use crate::dialect::HeaderNames;
-use crate::http::{Body, Connection, Error, Framing, ResponseHead};
+use crate::http::{Body, Connection, ConnectionUse, Error, Framing, ResponseHead};
 use crate::idle::IdleConnections;
 use crate::memory::{BodyMemory, Reservation};
 
@@ -46,6 +46,8 @@
     pub body: Vec<u8>,
     /// Reservation of the memory that `body` takes beyond `MIN_BODY_BUFFER_BYTES`.
     pub memory: Reservation,
+    /// The connection on which the response arrived, as it was before the request.
+    pub via: ConnectionUse,
     /// Connection and read state of a body that exceeds the buffer.
     pub rest: Option<(Connection, Body)>,
 }
@@ -89,9 +91,9 @@
     now: impl Fn() -> Duration,
 ) -> Result<ReceivedResponse, Failure> {
     let mut request_written = false;
-    connection.begin_request();
+    let via = connection.begin_request(out.id);
     let stream = connection.stream();
-    let head = send_and_read_head(&mut connection, out, names, &mut request_written);
+    let head = send_and_read_head(&mut connection, out, names, via, &mut request_written);
     let head = runtime::limit_delivery_time(&stream, head)
         .await
         .map_err(Failure::Lost)?;
@@ -109,6 +111,7 @@
             head,
             body: bytes,
             memory,
+            via,
             rest,
         });
     }
@@ -123,6 +126,7 @@
         head,
         body: bytes,
         memory,
+        via,
         rest: None,
     })
 }
@@ -155,6 +159,7 @@
     connection: &mut Connection,
     out: &OutgoingRequest<'_>,
     names: &HeaderNames,
+    via: ConnectionUse,
     request_written: &mut bool,
 ) -> Result<ResponseHead, Error> {
     let mut stream = connection.stream();
@@ -170,7 +175,9 @@
         }
         futures_lite::future::pending().await
     };
-    write.or(read_matching_head(connection, out, names)).await
+    write
+        .or(read_matching_head(connection, out, names, via))
+        .await
 }
 
 /// Reads response heads until one carries the id of the request. All others are skipped: a response
@@ -179,6 +186,7 @@
     connection: &mut Connection,
     out: &OutgoingRequest<'_>,
     names: &HeaderNames,
+    via: ConnectionUse,
 ) -> Result<ResponseHead, Error> {
     for _ in 0..MAX_RESPONSE_HEADS {
         let head = connection.read_response_head(MAX_HEAD_BYTES).await?;
@@ -192,13 +200,19 @@
             }
             return Ok(head);
         }
+        let answer_id = head.get(names.request_id);
         metrics::counter!("gateway_foreign_answers_total").increment(1);
         log::info!(
-            "event=foreign_answer id={} answer_id={} status={} server={}",
+            "event=foreign_answer id={} answer_id={} answer_id_sent_before={} status={} server={} \
+             connection={} connection_age_ms={} earlier_requests={}",
             out.id,
-            head.get(names.request_id).unwrap_or("none"),
+            answer_id.unwrap_or("none"),
+            answer_id.is_some_and(|id| connection.has_sent(id)),
             head.status,
-            out.address
+            out.address,
+            via.number,
+            via.age.as_millis(),
+            via.earlier_requests
         );
         let mut body = Body::new(head.framing(out.method)?);
         let mut skipped = Vec::new();
--- a/components/gateway/src/http/connection.rs
+++ b/components/gateway/src/http/connection.rs
@@ -1,8 +1,10 @@
 //! A buffered TCP connection.
 
+use std::fmt;
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
@@ -12,9 +14,12 @@
 
 use super::error::{Error, Result};
 use super::head::{RequestHead, ResponseHead};
+use super::sent_ids::SentIds;
 
 /// Maximum number of bytes read at once.
 const READ_SIZE: usize = 16 * 1024;
+/// Number of the next connection in the log.
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
 
 /// A connection with the received bytes that are not yet consumed.
 #[derive(Debug)]
@@ -30,8 +35,37 @@
     budget: YieldBudget,
     /// When a request was written whose response is not complete.
     request_since: Option<Instant>,
-    /// Whether no request was written yet.
-    new: bool,
+    /// Number of the connection in the log.
+    number: u64,
+    opened_at: Instant,
+    sent_ids: SentIds,
+}
+
+/// State of a connection when a request was sent on it, for log lines.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionUse {
+    /// Number of the connection, unique within the process.
+    pub number: u64,
+    /// Time since the connection was opened.
+    pub age: Duration,
+    /// Number of requests sent on it before.
+    pub earlier_requests: usize,
+    /// Whether a request with the same id was sent on it before. A refusal may then be a copy of
+    /// that to the earlier request.
+    pub id_sent_before: bool,
+}
+
+impl fmt::Display for ConnectionUse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "connection={} connection_age_ms={} earlier_requests={} id_sent_before={}",
+            self.number,
+            self.age.as_millis(),
+            self.earlier_requests,
+            self.id_sent_before
+        )
+    }
 }
 
 impl Connection {
@@ -50,7 +84,9 @@
             needs_more: false,
             budget: YieldBudget::default(),
             request_since: None,
-            new: true,
+            number: NEXT_NUMBER.fetch_add(1, Ordering::Relaxed),
+            opened_at: Instant::now(),
+            sent_ids: SentIds::default(),
         }
     }
 
@@ -62,15 +98,28 @@
         Ok(Connection::new(stream))
     }
 
-    /// Records that a request is about to be written.
-    pub fn begin_request(&mut self) {
-        self.request_since = Some(Instant::now());
-        self.new = false;
+    /// Records that a request is about to be written. Returns the state of the connection before it.
+    pub fn begin_request(&mut self, id: &str) -> ConnectionUse {
+        let now = Instant::now();
+        let before = ConnectionUse {
+            number: self.number,
+            age: now.saturating_duration_since(self.opened_at),
+            earlier_requests: self.sent_ids.len(),
+            id_sent_before: self.has_sent(id),
+        };
+        self.request_since = Some(now);
+        self.sent_ids.insert(id);
+        before
     }
 
     /// Whether no request was written to the connection yet.
     pub fn is_new(&self) -> bool {
-        self.new
+        self.sent_ids.len() == 0
+    }
+
+    /// Whether a request with this id was written to the connection.
+    pub fn has_sent(&self, id: &str) -> bool {
+        self.sent_ids.contains(id)
     }
 
     /// Records that the response to the request has arrived.
--- a/components/gateway/src/http/mod.rs
+++ b/components/gateway/src/http/mod.rs
@@ -7,8 +7,9 @@
 mod connection;
 mod error;
 mod head;
+mod sent_ids;
 
 pub use body::{Body, Framing};
-pub use connection::Connection;
+pub use connection::{Connection, ConnectionUse};
 pub use error::{Error, Result};
 pub use head::{Header, RequestHead, ResponseHead, is_hop_by_hop};
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -146,11 +146,13 @@
     if finished.is_usable() || !hedge_sent {
         return finished;
     }
-    trace.record_attempt(
-        &finished.slot.grant.server,
-        "hedge_failed",
-        finished.elapsed,
-    );
+    let server = &finished.slot.grant.server;
+    match &finished.result {
+        Some(Ok(received)) if is_not_run(node, plan, &received.head) => {
+            trace.record_refusal(server, "hedge_failed", received, finished.elapsed);
+        }
+        _ => trace.record_attempt(server, "hedge_failed", finished.elapsed),
+    }
     history.may_have_run |= finished.may_have_run(node, plan);
     drop(finished);
     if first_finished {
@@ -271,7 +273,7 @@
             let load = received.head.get(names.load);
             slot.set_load(load.and_then(node.dialect.parse_load));
             if is_not_run(node, plan, &received.head) {
-                trace.record_attempt(&server, "not_run", elapsed);
+                trace.record_refusal(&server, "not_run", &received, elapsed);
                 slot.set_outcome(Outcome::Refused);
                 history.sent_attempts += 1;
                 return handle_not_run(plan, history);
--- a/components/gateway/src/relay/forward.rs
+++ b/components/gateway/src/relay/forward.rs
@@ -41,15 +41,11 @@
     match result {
         Some(Ok(received)) => {
             let not_run = received.head.get(OUTCOME_HEADER) == Some(NOT_RUN);
-            trace.record_attempt(
-                region,
-                if not_run {
-                    "forward_refused"
-                } else {
-                    "forwarded"
-                },
-                elapsed,
-            );
+            if not_run {
+                trace.record_refusal(region, "forward_refused", &received, elapsed);
+            } else {
+                trace.record_attempt(region, "forwarded", elapsed);
+            }
             let same_region = *region == *node.settings().region;
             if not_run && history.sent_attempts == 0 && !same_region {
                 // This region may have a slot by now.
--- a/components/gateway/src/relay/trace.rs
+++ b/components/gateway/src/relay/trace.rs
@@ -5,6 +5,7 @@
 
 use super::{Origin, Plan, Request};
 use crate::answer::Answer;
+use crate::exchange::ReceivedResponse;
 use crate::node::Node;
 
 /// Fields of a request's log line. Dropped before `finish`, it logs the request as abandoned.
@@ -84,6 +85,25 @@
         self.record_attempt(destination, outcome, elapsed);
     }
 
+    /// Logs a refusal by a server or another entry VM that says that the request has not run, and
+    /// records it as outcome.
+    pub fn record_refusal(
+        &mut self,
+        destination: &str,
+        outcome: &'static str,
+        received: &ReceivedResponse,
+        elapsed: Duration,
+    ) {
+        log::info!(
+            "event=attempt_refused id={} place={destination} outcome={outcome} status={} {} took_ms={}",
+            self.id,
+            received.head.status,
+            received.via,
+            elapsed.as_millis()
+        );
+        self.record_attempt(destination, outcome, elapsed);
+    }
+
     /// Logs and counts the finished request.
     pub fn finish(mut self, node: &Node, answer: &Answer) {
         self.finished = true;
