Show that copies of refusals are taken for answers

A scripted server refuses a request, sends a copy of the refusal when the same id comes again on the connection, and runs the request.

--- a/components/gateway/tests/relay/harness.rs
+++ b/components/gateway/tests/relay/harness.rs
@@ -159,6 +159,11 @@
         }
     }
 
+    /// Returns the number of connections accepted so far.
+    pub fn connection_count(&self) -> usize {
+        self.streams.lock().expect("lock streams").len()
+    }
+
     pub fn count(&self) -> usize {
         self.requests.lock().expect("lock requests").len()
     }
--- a/components/gateway/tests/relay/main.rs
+++ b/components/gateway/tests/relay/main.rs
@@ -10,4 +10,5 @@
 mod hedges;
 mod malformed_input;
 mod partition;
+mod refusal_copies;
 mod stop;
--- /dev/null
+++ b/components/gateway/tests/relay/refusal_copies.rs
@@ -0,0 +1,278 @@
+//! Servers that send a refusal again, when the refused request is under way a second time on the same
+//! connection. The copy bears the id of that request, so the id does not tell it from the answer.
+
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, ThreadId};
+use std::time::Duration;
+
+use crate::harness::{
+    ServerAction, TestEntryVm, TestServer, ok_response, ok_response_bytes, read_response,
+};
+
+/// Statuses with which servers refuse.
+const REFUSALS: [&str; 3] = [
+    "503 Service Unavailable",
+    "429 Too Many Requests",
+    "421 Misdirected Request",
+];
+/// Time that a server takes to run a request.
+const EXECUTION_TIME: Duration = Duration::from_millis(20);
+/// Requests that servers never refuse begin with this.
+const UNREFUSED_PREFIX: &str = "other";
+
+/// Number of times that each request ran, by id.
+type Runs = Arc<Mutex<HashMap<String, usize>>>;
+
+/// What a server has refused.
+#[derive(Default)]
+struct Refused {
+    /// Refusals of each id.
+    by_id: HashMap<String, usize>,
+    /// Refusals of each id on the connection that the thread serves.
+    by_connection: HashMap<(ThreadId, String), usize>,
+}
+
+fn refusal(status: &str, id: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {status}\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+        .into_bytes()
+}
+
+/// Starts a server that refuses each request `refusals` times and runs it after that. Whenever a
+/// request comes on a connection on which it was refused before, the server sends a copy of each of
+/// these refusals first.
+fn copying_server(status: &'static str, refusals: usize, runs: &Runs) -> TestServer {
+    let (refused, runs) = (Mutex::new(Refused::default()), runs.clone());
+    TestServer::start(move |_, id| {
+        let mut refused = refused.lock().unwrap();
+        // Each connection has its own thread.
+        let connection = (thread::current().id(), id.to_owned());
+        let copies = refused.by_connection.get(&connection).copied();
+        let mut bytes = refusal(status, id).repeat(copies.unwrap_or(0));
+        let count = refused.by_id.entry(id.to_owned()).or_default();
+        if *count < refusals && !id.starts_with(UNREFUSED_PREFIX) {
+            *count += 1;
+            *refused.by_connection.entry(connection).or_default() += 1;
+            bytes.extend(refusal(status, id));
+            return vec![ServerAction::Send(bytes)];
+        }
+        *runs.lock().unwrap().entry(id.to_owned()).or_default() += 1;
+        let mut actions = vec![
+            ServerAction::Send(bytes),
+            ServerAction::Wait(EXECUTION_TIME),
+        ];
+        actions.extend(ok_response(id, id));
+        actions
+    })
+}
+
+fn runs_of(runs: &Runs, id: &str) -> usize {
+    runs.lock().unwrap().get(id).copied().unwrap_or(0)
+}
+
+/// Sends a request again until it is not refused any more, as its caller may after a refusal that says
+/// "not run". Returns the number of refusals, and status and body of the last response.
+fn send_until_accepted(send: impl Fn() -> (u16, String, String)) -> (usize, u16, String) {
+    const MAX_REFUSALS: usize = 10;
+    for refusals in 0..MAX_REFUSALS {
+        let (status, head, body) = send();
+        if !head.contains("x-outcome: not-run") {
+            return (refusals, status, body);
+        }
+    }
+    panic!("refused {MAX_REFUSALS} times");
+}
+
+/// Sends reads that no server refuses.
+fn send_reads(entry_vm: &TestEntryVm, count: usize, name: &str) {
+    for i in 0..count {
+        let id = format!("{UNREFUSED_PREFIX}-{name}-{i}");
+        let (status, _, body) = entry_vm.send("GET", "/read/1", &id);
+        assert_eq!((status, body), (200, id));
+    }
+}
+
+/// Guards against an order that is refused as not run, although it runs, because the copy of an earlier
+/// refusal of the same id is taken for the answer (REFUSED).
+#[test]
+fn copied_refusal_does_not_hide_that_an_order_runs() {
+    for status in REFUSALS {
+        for (refusals, reads) in [(1, 0), (2, 0), (1, 3)] {
+            let runs = Runs::default();
+            let server = copying_server(status, refusals, &runs);
+            let entry_vm = TestEntryVm::start(&[&server]);
+            for i in 0..6 {
+                let id = format!("a{i}");
+                let case = format!("{status}, {refusals} refusals, {reads} reads, order {i}");
+                let result = send_until_accepted(|| {
+                    let response = entry_vm.send("POST", "/order/1", &id);
+                    send_reads(&entry_vm, reads, &id);
+                    response
+                });
+                assert_eq!(result, (refusals, 200, id.clone()), "{case}");
+                assert_eq!(runs_of(&runs, &id), 1, "{case}");
+            }
+        }
+    }
+}
+
+/// Guards against an order that runs at two servers, because the copy of an earlier refusal is taken for
+/// the answer of the first and the order is sent to the next one (TWICE).
+#[test]
+fn copied_refusal_does_not_send_a_running_order_to_another_server() {
+    for servers in [2, 3] {
+        let runs = Runs::default();
+        let started: Vec<TestServer> = (0..servers)
+            .map(|_| copying_server(REFUSALS[0], 1, &runs))
+            .collect();
+        let entry_vm = TestEntryVm::start(&started.iter().collect::<Vec<_>>());
+        for i in 0..6 {
+            let id = format!("a{i}");
+            let (_, status, body) = send_until_accepted(|| entry_vm.send("POST", "/order/1", &id));
+            assert_eq!((status, body), (200, id.clone()), "{servers} servers");
+            assert_eq!(runs_of(&runs, &id), 1, "{servers} servers, order {i}");
+        }
+    }
+}
+
+/// Guards against a read that runs a second time, and against its answer being left on the connection,
+/// because the copy of an earlier refusal is taken for the answer.
+#[test]
+fn copied_refusal_does_not_repeat_a_read() {
+    for servers in [1, 2] {
+        let runs = Runs::default();
+        let started: Vec<TestServer> = (0..servers)
+            .map(|_| copying_server(REFUSALS[0], 1, &runs))
+            .collect();
+        let entry_vm = TestEntryVm::start(&started.iter().collect::<Vec<_>>());
+        for i in 0..6 {
+            let id = format!("a{i}");
+            let (_, status, body) = send_until_accepted(|| entry_vm.send("GET", "/read/1", &id));
+            assert_eq!((status, body), (200, id.clone()), "{servers} servers");
+            assert_eq!(runs_of(&runs, &id), 1, "{servers} servers, read {i}");
+            send_reads(&entry_vm, 1, &id);
+        }
+    }
+}
+
+/// Guards against the same if the order comes back through another entry VM, which passes it on to
+/// this one.
+#[test]
+fn copied_refusal_does_not_hide_that_a_forwarded_order_runs() {
+    let runs = Runs::default();
+    let server = copying_server(REFUSALS[0], 1, &runs);
+    let entry_vm = TestEntryVm::start(&[&server]);
+    let peers = entry_vm.node.own().peers;
+    for i in 0..6 {
+        let id = format!("a{i}");
+        assert_eq!(entry_vm.send("POST", "/order/1", &id).0, 503, "order {i}");
+        let (status, _, body) = send_forwarded(peers, &id);
+        assert_eq!((status, body), (200, id.clone()), "order {i}");
+        assert_eq!(runs_of(&runs, &id), 1, "order {i}");
+    }
+}
+
+/// Sends an order as another entry VM would pass it on.
+fn send_forwarded(peers: SocketAddr, id: &str) -> (u16, String, String) {
+    let mut stream = TcpStream::connect(peers).unwrap();
+    let head = format!(
+        "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: {id}\r\nX-Deadline: 2000\r\n\
+         X-Target-Ms: 500\r\nX-Generation: 1\r\nContent-Length: 5\r\n\r\nhello"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    read_response(&mut stream).expect("response")
+}
+
+/// Guards against the same for two callers that use one id at the same time: the refusal of one must not
+/// be taken for the answer to the other.
+#[test]
+fn copied_refusal_does_not_reach_another_caller_with_the_same_id() {
+    let runs = Runs::default();
+    let server = copying_server(REFUSALS[0], 2, &runs);
+    let entry_vm = TestEntryVm::start(&[&server]);
+    for i in 0..6 {
+        let id = format!("a{i}");
+        let statuses: Vec<u16> = thread::scope(|scope| {
+            let callers: Vec<_> = (0..2)
+                .map(|_| scope.spawn(|| entry_vm.send("POST", "/order/1", &id).0))
+                .collect();
+            callers.into_iter().map(|c| c.join().unwrap()).collect()
+        });
+        assert_eq!(statuses, [503, 503], "order {i}");
+        assert_eq!(runs_of(&runs, &id), 0, "order {i}");
+        let (status, _, body) = entry_vm.send("POST", "/order/1", &id);
+        assert_eq!((status, body), (200, id.clone()), "order {i}");
+        assert_eq!(runs_of(&runs, &id), 1, "order {i}");
+    }
+}
+
+/// Guards against a copy that arrives together with the refusal or the answer itself, whole or cut in
+/// two, and is taken for the answer to the same or another request.
+#[test]
+fn copy_in_one_segment_with_an_answer_is_not_taken_for_another_answer() {
+    const CUT_AT: usize = 20;
+    for cut in [false, true] {
+        for after_refusal in [false, true] {
+            let seen = Mutex::new(HashMap::<String, usize>::new());
+            let server = TestServer::start(move |_, id| {
+                let mut seen = seen.lock().unwrap();
+                let arrivals = seen.entry(id.to_owned()).or_default();
+                *arrivals += 1;
+                let is_refused = *arrivals == 1 && !id.starts_with(UNREFUSED_PREFIX);
+                let mut bytes = if is_refused {
+                    refusal(REFUSALS[0], id)
+                } else {
+                    ok_response_bytes(id, id)
+                };
+                if is_refused != after_refusal || id.starts_with(UNREFUSED_PREFIX) {
+                    return vec![ServerAction::Send(bytes)];
+                }
+                let mut copy = refusal(REFUSALS[0], id);
+                let rest = copy.split_off(if cut { CUT_AT } else { copy.len() });
+                bytes.extend(copy);
+                let wait = ServerAction::Wait(Duration::from_millis(5));
+                vec![ServerAction::Send(bytes), wait, ServerAction::Send(rest)]
+            });
+            let entry_vm = TestEntryVm::start(&[&server]);
+            for i in 0..6 {
+                let id = format!("a{i}");
+                let case = format!("cut={cut} after_refusal={after_refusal} order {i}");
+                let result = send_until_accepted(|| entry_vm.send("POST", "/order/1", &id));
+                assert_eq!(result, (1, 200, id.clone()), "{case}");
+                send_reads(&entry_vm, 1, &id);
+                assert_eq!(server.count(), 3 * (i + 1), "{case}");
+            }
+        }
+    }
+}
+
+/// Guards against a refusal that reaches the caller as an unknown outcome (502), because it is taken for
+/// the copy of an earlier one.
+#[test]
+fn true_refusal_stays_a_refusal() {
+    for status in REFUSALS {
+        let server = copying_server(status, 5, &Runs::default());
+        let entry_vm = TestEntryVm::start(&[&server]);
+        for i in 0..5 {
+            let (answer, head, _) = entry_vm.send("POST", "/order/1", "a");
+            assert_eq!(answer, 503, "{status}, time {i}: {head}");
+            assert!(head.contains("x-outcome: not-run"), "{status}: {head}");
+            assert!(head.contains("Retry-After"), "{status}: {head}");
+        }
+        assert_eq!(entry_vm.send("POST", "/order/1", "a").0, 200, "{status}");
+    }
+}
+
+/// Guards against a new connection for each refusal: servers refuse most when they are busy, and a
+/// connection takes one of their slots.
+#[test]
+fn refusals_of_different_requests_keep_the_connection() {
+    let server = copying_server(REFUSALS[0], 1, &Runs::default());
+    let entry_vm = TestEntryVm::start(&[&server]);
+    for i in 0..20 {
+        assert_eq!(entry_vm.send("POST", "/order/1", &format!("a{i}")).0, 503);
+    }
+    assert_eq!((server.count(), server.connection_count()), (20, 1));
+}
