Send no request on a connection that has carried its id before

What callers saw: an order that had been refused as not run came back, ran, and was refused again (REFUSED), or ran at two servers (TWICE). Reads ran again.

Cause: a server may send a refusal a second time, late. The copy bears the id of the refused request. An idle connection did not know which ids it had carried, so the returning request could go out on the connection of its refusal, and the copy was taken for the answer.

Change: an idle connection is passed over for a request whose id was sent on it, whoever sent it. A connection records the ids of at most 256 requests and is closed after the last of them, since a forgotten id would bring the fault back. Closing each connection after a refusal instead would open new ones where servers refuse most, when they are busy. New event connection_passed_over, new metric gateway_connections_passed_over_total.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -63,16 +63,17 @@
     Lost(Error),
 }
 
-/// Takes an idle connection that has been idle for less than `max_idle`, or opens one within
-/// `limit`.
+/// Takes a connection that has been idle for less than `max_idle` and has not carried the request
+/// `id`, or opens one within `limit`.
 pub async fn connect(
     address: SocketAddr,
+    id: &str,
     limit: Duration,
     max_idle: Duration,
     idle: &IdleConnections,
     now: Duration,
 ) -> Result<Connection, Failure> {
-    if let Some(connection) = idle.take(address, max_idle, now).await {
+    if let Some(connection) = idle.take(address, id, max_idle, now).await {
         return Ok(connection);
     }
     metrics::counter!("gateway_server_connections_total").increment(1);
--- a/components/gateway/src/http/connection.rs
+++ b/components/gateway/src/http/connection.rs
@@ -112,9 +112,19 @@
         before
     }
 
+    /// Number of the connection in the log.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Returns the number of requests written to the connection.
+    pub fn sent_count(&self) -> usize {
+        self.sent_ids.len()
+    }
+
     /// Whether no request was written to the connection yet.
     pub fn is_new(&self) -> bool {
-        self.sent_ids.len() == 0
+        self.sent_count() == 0
     }
 
     /// Whether a request with this id was written to the connection.
--- a/components/gateway/src/http/mod.rs
+++ b/components/gateway/src/http/mod.rs
@@ -13,3 +13,4 @@
 pub use connection::{Connection, ConnectionUse};
 pub use error::{Error, Result};
 pub use head::{Header, RequestHead, ResponseHead, is_hop_by_hop};
+pub use sent_ids::MAX_SENT_IDS;
--- a/components/gateway/src/http/sent_ids.rs
+++ b/components/gateway/src/http/sent_ids.rs
@@ -2,6 +2,10 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+/// Maximum number of requests on a connection to a server or entry VM. Forgetting older ids instead
+/// would let an old refusal be taken for an answer.
+pub const MAX_SENT_IDS: usize = 256;
+
 /// Ids of the requests that were sent on a connection, as 64-bit hashes. Two ids with the same hash
 /// count as one.
 #[derive(Debug, Default)]
--- a/components/gateway/src/idle.rs
+++ b/components/gateway/src/idle.rs
@@ -5,7 +5,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use crate::http::Connection;
+use crate::http::{Connection, MAX_SENT_IDS};
 
 /// Time for which an idle connection is kept if the peer states no timeout; shorter than the idle
 /// timeouts in use, so that this side closes first.
@@ -29,16 +29,20 @@
 }
 
 impl IdleConnections {
-    /// Takes the most recently used connection that is still usable and has been idle for less than
-    /// `max_idle`; closes the unusable ones before it.
+    /// Takes the most recently used connection that is still usable, has been idle for less than
+    /// `max_idle` and has not carried the request `id` before; closes the unusable ones before it.
+    ///
+    /// A server may repeat the answer to an earlier request late. If that request had the same id, the
+    /// copy could not be told from the answer.
     pub async fn take(
         &self,
         address: SocketAddr,
+        id: &str,
         max_idle: Duration,
         now: Duration,
     ) -> Option<Connection> {
         loop {
-            let mut idle = self.lock().get_mut(&address)?.pop()?;
+            let mut idle = self.pop_without(address, id)?;
             let reusable = now < idle.expires_at && now.saturating_sub(idle.idle_since) < max_idle;
             if reusable && !idle.connection.is_stale().await {
                 return Some(idle.connection);
@@ -46,7 +50,24 @@
         }
     }
 
-    /// Keeps a connection for reuse; `peer_timeout` is the idle timeout that the peer states.
+    /// Removes and returns the most recently used connection that has not carried the request `id`.
+    fn pop_without(&self, address: SocketAddr, id: &str) -> Option<IdleConnection> {
+        let mut by_address = self.lock();
+        let connections = by_address.get_mut(&address)?;
+        let last = connections.len().checked_sub(1)?;
+        let found = connections.iter().rposition(|i| !i.connection.has_sent(id));
+        if found != Some(last) {
+            metrics::counter!("gateway_connections_passed_over_total").increment(1);
+            let number = connections[last].connection.number();
+            log::info!(
+                "event=connection_passed_over id={id} address={address} connection={number}"
+            );
+        }
+        found.map(|i| connections.remove(i))
+    }
+
+    /// Keeps a connection for reuse, unless it has carried [`MAX_SENT_IDS`] requests; `peer_timeout` is
+    /// the idle timeout that the peer states.
     pub fn put(
         &self,
         address: SocketAddr,
@@ -54,6 +75,9 @@
         peer_timeout: Option<Duration>,
         now: Duration,
     ) {
+        if connection.sent_count() >= MAX_SENT_IDS {
+            return;
+        }
         let timeout = peer_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |t| {
             t.saturating_sub(IDLE_TIMEOUT_MARGIN)
         });
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -206,7 +206,15 @@
     sent: &AtomicBool,
 ) -> Result<ReceivedResponse, Failure> {
     let limit = CONNECT_TIMEOUT.min(plan.remaining(node));
-    let connection = connect(address, limit, plan.max_idle(), &node.idle, node.now()).await?;
+    let connection = connect(
+        address,
+        &plan.id,
+        limit,
+        plan.max_idle(),
+        &node.idle,
+        node.now(),
+    )
+    .await?;
     if connection.is_new() {
         node.dispatcher.record_server_contact();
     }
--- a/components/gateway/src/relay/forward.rs
+++ b/components/gateway/src/relay/forward.rs
@@ -95,7 +95,15 @@
     sent: &AtomicBool,
 ) -> Result<ReceivedResponse, Failure> {
     let limit = FORWARD_CONNECT_TIMEOUT.min(plan.remaining(node));
-    let connection = connect(peer, limit, plan.max_idle(), &node.idle, node.now()).await?;
+    let connection = connect(
+        peer,
+        &plan.id,
+        limit,
+        plan.max_idle(),
+        &node.idle,
+        node.now(),
+    )
+    .await?;
     let remaining = plan.remaining(node);
     if remaining < MIN_SENT_DEADLINE {
         return Err(Failure::Withdrawn);
--- a/components/gateway/tests/relay/refusal_copies.rs
+++ b/components/gateway/tests/relay/refusal_copies.rs
@@ -276,3 +276,20 @@
     }
     assert_eq!((server.count(), server.connection_count()), (20, 1));
 }
+
+/// Guards against a record of sent ids that grows without bound, or that forgets an id while its
+/// connection is in use.
+#[test]
+fn connection_is_replaced_after_its_last_recorded_request() {
+    const MAX_REQUESTS: usize = 256;
+    let server = TestServer::start(|_, id| ok_response(id, "done"));
+    let entry_vm = TestEntryVm::start(&[&server]);
+    for i in 0..MAX_REQUESTS {
+        assert_eq!(entry_vm.send("GET", "/read/1", &format!("a{i}")).0, 200);
+    }
+    assert_eq!(server.connection_count(), 1);
+    for i in 0..MAX_REQUESTS {
+        assert_eq!(entry_vm.send("GET", "/read/1", &format!("b{i}")).0, 200);
+    }
+    assert_eq!(server.connection_count(), 2);
+}
