Refuse a retry at once if no server is left for it

What callers saw: an order that every server of a small service had refused was told so only after a quarter of its time.

Cause: a request that is tried again waits in the queue for a slot of a server that is not excluded. If each server in use has refused it or could not be reached, there is none to wait for.

Change: such a request is refused at once, unless another region may still take it.

--- a/components/dispatch/src/pool/grant.rs
+++ b/components/dispatch/src/pool/grant.rs
@@ -220,6 +220,18 @@
         (self.retries.count(now) as f64) + 1.0 <= allowed
     }
 
+    /// Whether all servers in use are excluded for the request, and no other region may take it.
+    fn cannot_be_served(&self, request: &AdmissionRequest) -> bool {
+        let excluded = &request.excluded_servers;
+        let mut in_use = self
+            .servers
+            .values()
+            .filter(|s| s.server.ready && !s.evacuated);
+        !excluded.is_empty()
+            && request.forward_regions.is_empty()
+            && in_use.all(|s| excluded.contains(&s.server.id))
+    }
+
     pub(super) fn refuse(
         &self,
         queued: &QueuedRequest,
@@ -230,7 +242,7 @@
     ) -> Option<(RequestId, Decision)> {
         let request = &queued.request;
         let total = request.deadline_left + request.waited;
-        let max_wait = if request.hedge {
+        let max_wait = if request.hedge || self.cannot_be_served(request) {
             Duration::ZERO
         } else if overloaded {
             let target = request.target_left + request.waited;
--- a/components/dispatch/tests/pool/decisions.rs
+++ b/components/dispatch/tests/pool/decisions.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use crate::common::{REQUESTER, answer, decide, grant, ms, pool, request, server};
-use dispatch::{AdmissionRequest, Decision, Outcome, PoolSettings, PoolSnapshot, RefuseReason};
+use dispatch::{
+    AdmissionRequest, Decision, Outcome, PoolSettings, PoolSnapshot, RefuseReason, Server,
+};
 use proptest::prelude::*;
 
 /// Guards against sending more requests to a server than it has slots.
@@ -212,6 +214,45 @@
     ));
 }
 
+/// Guards against a request that waits for a slot although each server in use has refused it or could
+/// not be reached.
+#[test]
+fn request_that_all_servers_refused_is_refused_at_once() {
+    let evacuated = Server {
+        domain: "south".into(),
+        ..server("b", 1)
+    };
+    let leaving = Server {
+        ready: false,
+        ..server("c", 1)
+    };
+    let mut pool = pool(
+        &[server("a", 1), evacuated, leaving],
+        PoolSettings::default(),
+    );
+    pool.evacuate(&["south".into()], ms(0));
+    let retry = |number| AdmissionRequest {
+        retry: true,
+        excluded_servers: ["a".into()].into_iter().collect(),
+        ..request(number)
+    };
+    assert!(matches!(
+        decide(&mut pool, retry(1), ms(1)),
+        Some(Decision::Refuse { .. })
+    ));
+    // A busy server will have a slot again, and another region may have one.
+    pool.upsert_server(server("d", 1), ms(2));
+    assert!(grant(&mut pool, request(2), ms(2)).is_some());
+    assert!(grant(&mut pool, request(3), ms(2)).is_some());
+    assert_eq!(decide(&mut pool, retry(4), ms(2)), None);
+    pool.remove_server("d");
+    let forwardable = AdmissionRequest {
+        forward_regions: ["alpen".into()].into_iter().collect(),
+        ..retry(5)
+    };
+    assert_eq!(decide(&mut pool, forwardable, ms(3)), None);
+}
+
 /// Guards against slow responses from servers that have not cached an object while others have.
 #[test]
 fn requests_for_object_use_same_server() {
