Count the server of a hedge as tried

What callers saw: a read that a server had refused, or lost, as the second of two parallel attempts was sent to that server again, although another one was left.

Cause: only the server of the first attempt was put into the list of excluded servers. Routes with three or more attempts therefore sent the third one to the server of the hedge.

Change: the server of a hedge is listed as soon as it has a slot; it leaves the list if nothing was sent to it.

--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -113,7 +113,8 @@
     sent_attempts: u32,
     /// Attempts for which no connection could be opened.
     connect_failures: u32,
-    /// Servers already tried, which get no further attempt.
+    /// Servers already tried, hedges included, which get no further attempt. None is listed twice: no
+    /// slot is granted at a listed server.
     excluded_servers: SmallVec<[ServerId; 2]>,
     /// Whether the request was forwarded to another region.
     forwarded: bool,
@@ -123,6 +124,14 @@
     last_error: Option<Answer>,
 }
 
+impl AttemptHistory {
+    /// Allows another attempt at a server to which nothing was sent. The next grant is checked as
+    /// well; a server that is back may be used again.
+    fn forget_withdrawn(&mut self, server: &str) {
+        self.excluded_servers.retain(|s| &**s != server);
+    }
+}
+
 /// Relays a request by `routes` and returns the response for its sender.
 pub async fn relay(node: &Arc<Node>, req: Request, routes: Option<Arc<RouteTable>>) -> Answer {
     let _open = node.count_request();
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use config::ServerId;
@@ -106,7 +106,7 @@
     hedge_delay: Duration,
     trace: &mut Trace,
 ) -> FinishedAttempt {
-    let hedge_sent = AtomicBool::new(false);
+    let hedge_server = OnceLock::new();
     let avoid = history.excluded_servers.clone();
     let hedge = async {
         runtime::sleep(hedge_delay).await;
@@ -123,13 +123,12 @@
             }
             runtime::sleep(hedge_delay / SLOT_POLLS_PER_HEDGE_DELAY).await;
         };
-        hedge_sent.store(true, Ordering::Relaxed);
+        let second = hedge_server.get_or_init(|| slot.grant.server.clone());
         metrics::counter!("gateway_hedges_total").increment(1);
         log::info!(
-            "event=hedge id={} first={} second={} slow_after_ms={}",
+            "event=hedge id={} first={} second={second} slow_after_ms={}",
             plan.id,
             avoid.last().map_or("", |s| s),
-            slot.grant.server,
             hedge_delay.as_millis()
         );
         attempt(node, req, plan, slot, Duration::MAX).await
@@ -139,11 +138,12 @@
         .or(async { (false, (&mut hedge).await) })
         .await;
     let (first_finished, finished) = either;
-    let hedge_sent = hedge_sent.load(Ordering::Relaxed);
-    if hedge_sent {
-        history.sent_attempts += 1;
-    }
-    if finished.is_usable() || !hedge_sent {
+    let Some(hedge_server) = hedge_server.get() else {
+        return finished;
+    };
+    history.sent_attempts += 1;
+    history.excluded_servers.push(hedge_server.clone());
+    if finished.is_usable() {
         return finished;
     }
     let server = &finished.slot.grant.server;
@@ -153,6 +153,9 @@
         }
         _ => trace.record_attempt(server, "hedge_failed", finished.elapsed),
     }
+    if let Some(Err(Failure::Withdrawn)) = finished.result {
+        history.forget_withdrawn(server);
+    }
     history.may_have_run |= finished.may_have_run(node, plan);
     drop(finished);
     if first_finished {
@@ -303,8 +306,7 @@
         Some(Err(Failure::Withdrawn)) => {
             trace.record_attempt(&server, "withdrawn", elapsed);
             slot.set_outcome(Outcome::Unused);
-            // The next grant is checked as well; a server that is back may be used again.
-            history.excluded_servers.retain(|s| *s != server);
+            history.forget_withdrawn(&server);
             Step::Retry
         }
         Some(Err(Failure::Lost(e))) => {
--- a/components/gateway/tests/relay/harness.rs
+++ b/components/gateway/tests/relay/harness.rs
@@ -368,7 +368,8 @@
     }
 }
 
-fn routes() -> RouteTable {
+/// Returns the routes of [`TestEntryVm::start`].
+pub fn routes() -> RouteTable {
     let route = |prefix: &str, binding| Route {
         name: prefix.into(),
         prefix: prefix.into(),
--- a/components/gateway/tests/relay/hedges.rs
+++ b/components/gateway/tests/relay/hedges.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use crate::harness::{ServerAction, TestEntryVm, TestServer, ok_response, shed_response};
+use crate::harness::{ServerAction, TestEntryVm, TestServer, ok_response, routes, shed_response};
 
 /// Requests that let the entry VM learn the usual latency.
 const WARM_UP_REQUESTS: usize = 30;
@@ -77,3 +77,49 @@
         assert_eq!(cancelled, 0, "{status}");
     }
 }
+
+/// Guards against a request that reaches a server a second time after that server has refused it,
+/// because the server of a hedge does not count as tried.
+#[test]
+fn request_is_not_sent_again_to_the_server_of_a_refused_hedge() {
+    for servers in [2, 3] {
+        let attempts = Arc::new(AtomicUsize::new(0));
+        let started: Vec<TestServer> = (0..servers)
+            .map(|_| {
+                let attempts = attempts.clone();
+                TestServer::start(move |_, id| {
+                    if id != "hedged" {
+                        return ok_response(id, "done");
+                    }
+                    match attempts.fetch_add(1, Ordering::SeqCst) {
+                        0 => vec![
+                            ServerAction::Wait(Duration::from_millis(400)),
+                            ServerAction::Close,
+                        ],
+                        1 => shed_response(id),
+                        _ => ok_response(id, "third"),
+                    }
+                })
+            })
+            .collect();
+        let entry_vm = TestEntryVm::start(&started.iter().collect::<Vec<_>>());
+        let mut routes = routes();
+        routes.generation += 1;
+        for route in routes.hosts.values_mut().flatten() {
+            route.max_attempts = 3;
+        }
+        assert!(entry_vm.node.set_routes(routes));
+        for i in 0..WARM_UP_REQUESTS {
+            assert_eq!(entry_vm.send("GET", "/read/1", &format!("a{i}")).0, 200);
+        }
+        let (status, head, _) = entry_vm.send("GET", "/read/1", "hedged");
+        let received = |s: &TestServer| {
+            let requests = s.requests.lock().unwrap();
+            requests.iter().filter(|r| r.contains("hedged")).count()
+        };
+        let received: Vec<usize> = started.iter().map(received).collect();
+        assert_eq!(received, vec![1; servers], "{head}");
+        // Without a third server, the lost first attempt decides.
+        assert_eq!(status, if servers == 2 { 502 } else { 200 }, "{head}");
+    }
+}
