Test decisions of a pool owner that come twice, late or for others

A scripted entry VM owns the pool and sends grants and refusals of earlier requests, for another process, twice, after the first decision, and after the own pool has decided. Each order runs once and its caller gets its answer; superfluous slots are returned. No change of the code.

--- a/components/gateway/tests/relay/main.rs
+++ b/components/gateway/tests/relay/main.rs
@@ -10,5 +10,6 @@
 mod hedges;
 mod malformed_input;
 mod partition;
+mod pool_owner;
 mod refusal_copies;
 mod stop;
