Believe only the pool owner that a request is queued

What callers saw: nothing so far. A request could wait until its deadline, and be refused as not run, although its pool owner had never received it.

Cause: the confirmation that a request is queued was matched by the number of the request alone. One for an earlier process at the same address, or from an earlier owner of the pool, put off the repeat of the admission request, and the move to the own pool.

Change: a confirmation counts only if it bears the incarnation of this process and comes from the owner that the request was sent to.

Result: only_the_pool_owner_confirms_that_a_request_is_queued fails without either of the two checks (503 at the deadline) and passes with both.

--- a/components/gateway/src/dispatcher/inbox.rs
+++ b/components/gateway/src/dispatcher/inbox.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use config::RegionId;
-use dispatch::{AdmissionRequest, Decision};
+use dispatch::{AdmissionRequest, Decision, RequestId};
 
 use super::inner::Inner;
 use super::timing::DEFAULT_ROUND_TRIP;
@@ -36,11 +36,7 @@
                 }
             }
             Message::Admit(request) => self.receive_request(request, from, now),
-            Message::Queued(id) => {
-                if let Some(pending) = self.pending.get_mut(&id.1) {
-                    pending.acknowledge(now);
-                }
-            }
+            Message::Queued(id) => self.receive_confirmation(id, from, now),
             Message::Decided(id, decision) => {
                 if id.0 == self.members.own.incarnation {
                     let sender = self.sender(from);
@@ -119,6 +115,17 @@
         }
     }
 
+    /// Records that the pool owner has queued a request. A confirmation of an earlier owner, or for
+    /// an earlier process at this address, says nothing about the request.
+    fn receive_confirmation(&mut self, id: RequestId, from: SocketAddr, now: Duration) {
+        let sender = self.sender(from);
+        let own = id.0 == self.members.own.incarnation;
+        let pending = self.pending.get_mut(&id.1);
+        if let Some(pending) = pending.filter(|p| own && p.owner == sender) {
+            pending.acknowledge(now);
+        }
+    }
+
     fn receive_pools(
         &mut self,
         region: &RegionId,
--- a/components/gateway/tests/relay/pool_owner.rs
+++ b/components/gateway/tests/relay/pool_owner.rs
@@ -17,6 +17,7 @@
 #[derive(Clone, Serialize)]
 enum Datagram {
     Heartbeat(Member),
+    Waiting(RequestId),
     Decided(RequestId, Decision),
     Ended(RequestId),
 }
@@ -215,3 +216,27 @@
     let ends = owner.ends.lock().unwrap();
     assert!(ends.iter().any(|(_, o)| *o == Outcome::Unused), "{ends:?}");
 }
+
+/// Guards against a request that waits in vain for its pool owner, because a confirmation is taken for
+/// its own that is about the request of another process with the same number, or comes from an entry VM
+/// that the request was not sent to.
+#[test]
+fn only_the_pool_owner_confirms_that_a_request_is_queued() {
+    for other_sender in [false, true] {
+        let server = slow_server();
+        let entry_vm = TestEntryVm::start(&[&server]);
+        let to = entry_vm.node.own().peers;
+        let other = UdpSocket::bind(standins::address::free().unwrap()).unwrap();
+        let _owner = PoolOwner::start(&entry_vm, move |request| {
+            let (incarnation, number) = request.id;
+            if !other_sender {
+                return vec![Datagram::Waiting((incarnation ^ 1, number))];
+            }
+            let bytes = rmp_serde::to_vec(&Datagram::Waiting(request.id)).unwrap();
+            other.send_to(&bytes, to).unwrap();
+            Vec::new()
+        });
+        let (status, head, _) = entry_vm.send("POST", "/order/1", "a");
+        assert_eq!(status, 200, "other_sender={other_sender}: {head}");
+    }
+}
