Send HEAD requests on connections of their own

What callers saw: an order's outcome was unknown (502) although its answer had arrived, or an order sent by HEAD was refused as not run although it ran (REFUSED).

Cause: an answer to another request is skipped by the method of the current one. A copy of the answer to a HEAD request was read as if it had a body, which took the start of the next answer away; the body of a copied answer was read as the answer to a HEAD request, and believed if it looked like one. A copy does not tell the method of its request.

Change: a HEAD request opens a connection, which is not kept. Other requests then never share one with it.

Result: copied_answer_to_a_head_request_does_not_damage_the_next_answer and body_of_a_copied_answer_is_not_taken_for_the_answer_to_a_head_request fail without the change and pass with it.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -63,17 +63,27 @@
     Lost(Error),
 }
 
+/// Returns whether requests with this method share connections with others. The answer to a HEAD
+/// request has no body whatever its fields say, and a late copy of an answer does not tell the method
+/// of its request.
+fn shares_connections(method: &str) -> bool {
+    method != "HEAD"
+}
+
 /// Takes a connection that has been idle for less than `max_idle` and has not carried the request
 /// `id`, or opens one within `limit`.
 pub async fn connect(
     address: SocketAddr,
+    method: &str,
     id: &str,
     limit: Duration,
     max_idle: Duration,
     idle: &IdleConnections,
     now: Duration,
 ) -> Result<Connection, Failure> {
-    if let Some(connection) = idle.take(address, id, max_idle, now).await {
+    if shares_connections(method)
+        && let Some(connection) = idle.take(address, id, max_idle, now).await
+    {
         return Ok(connection);
     }
     metrics::counter!("gateway_server_connections_total").increment(1);
@@ -117,6 +127,7 @@
         });
     }
     let reusable = request_written
+        && shares_connections(out.method)
         && head.keeps_alive()
         && framing != Framing::UntilClose
         && connection.buffered().is_empty();
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -211,6 +211,7 @@
     let limit = CONNECT_TIMEOUT.min(plan.remaining(node));
     let connection = connect(
         address,
+        &req.head.method,
         &plan.id,
         limit,
         plan.max_idle(),
--- a/components/gateway/src/relay/forward.rs
+++ b/components/gateway/src/relay/forward.rs
@@ -97,6 +97,7 @@
     let limit = FORWARD_CONNECT_TIMEOUT.min(plan.remaining(node));
     let connection = connect(
         peer,
+        &req.head.method,
         &plan.id,
         limit,
         plan.max_idle(),
--- a/components/gateway/tests/relay/refusal_copies.rs
+++ b/components/gateway/tests/relay/refusal_copies.rs
@@ -1,15 +1,16 @@
 //! Servers that send a refusal again, when the refused request is under way a second time on the same
 //! connection. The copy bears the id of that request, so the id does not tell it from the answer.
+//! Also servers that send any answer again, where the answer to a HEAD request is due or follows.
 
 use std::collections::HashMap;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, ThreadId};
 use std::time::Duration;
 
 use crate::harness::{
-    ServerAction, TestEntryVm, TestServer, ok_response, ok_response_bytes, read_response,
+    ServerAction, TestEntryVm, TestServer, ok_response, ok_response_bytes, read_response, request,
 };
 
 /// Statuses with which servers refuse.
@@ -293,3 +294,84 @@
     }
     assert_eq!(server.connection_count(), 2);
 }
+
+/// Encodes an answer with a body of five bytes; the answer to a HEAD request has none.
+fn answer_with_length(id: &str, body: &str) -> Vec<u8> {
+    let head = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 5\r\n";
+    format!("{head}X-Id: {id}\r\n\r\n{body}").into_bytes()
+}
+
+/// Starts a server that sends a copy of its first answer before each further one on that connection.
+fn server_with_copy(answer: impl Fn(usize, &str) -> Vec<u8> + Send + Sync + 'static) -> TestServer {
+    let first = Mutex::new(None);
+    TestServer::start(move |n, id| {
+        let mut bytes = answer(n, id);
+        // Each connection has its own thread.
+        let connection = thread::current().id();
+        let mut first = first.lock().unwrap();
+        match &*first {
+            None => *first = Some((connection, bytes.clone())),
+            Some((c, copy)) if *c == connection => bytes = [&copy[..], &bytes].concat(),
+            Some(_) => {}
+        }
+        vec![ServerAction::Send(bytes)]
+    })
+}
+
+/// Sends a HEAD request and returns status and head of the response.
+fn send_head(entry_vm: &TestEntryVm, path: &str, id: &str) -> (u16, String) {
+    let mut stream = entry_vm.connect();
+    stream.write_all(&request("HEAD", path, id)).unwrap();
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("head of a response");
+        bytes.push(byte[0]);
+    }
+    let head = String::from_utf8(bytes).unwrap();
+    (head[9..12].parse().unwrap(), head)
+}
+
+/// Guards against an order whose outcome becomes unknown, because a copy of the answer to a HEAD request
+/// is read as if it had a body, which takes the start of the order's answer away.
+#[test]
+fn copied_answer_to_a_head_request_does_not_damage_the_next_answer() {
+    for refused in [false, true] {
+        let first = move |id: &str| {
+            if refused {
+                let head = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 5\r\n";
+                return format!("{head}X-Id: {id}\r\n\r\n").into_bytes();
+            }
+            answer_with_length(id, "")
+        };
+        let server = server_with_copy(move |n, id| match n {
+            0 => first(id),
+            _ => ok_response_bytes(id, id),
+        });
+        let entry_vm = TestEntryVm::start(&[&server]);
+        let (status, head) = send_head(&entry_vm, "/read/1", "head");
+        assert_eq!(status, if refused { 503 } else { 200 }, "{head}");
+        let (status, head, body) = entry_vm.send("POST", "/order/1", "order");
+        assert_eq!((status, &*body), (200, "order"), "{refused}: {head}");
+        assert_eq!(server.count(), 2);
+    }
+}
+
+/// Guards against an order by HEAD that is refused although it runs, or whose outcome becomes unknown,
+/// because the body of a copied answer is read as the next answer.
+#[test]
+fn body_of_a_copied_answer_is_not_taken_for_the_answer_to_a_head_request() {
+    let body = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Id: head\r\n\r\n";
+    for body in ["hello", body] {
+        let server = server_with_copy(move |n, id| match n {
+            0 => ok_response_bytes(id, body),
+            _ => answer_with_length(id, ""),
+        });
+        let entry_vm = TestEntryVm::start(&[&server]);
+        assert_eq!(entry_vm.send("GET", "/read/1", "first").0, 200);
+        let (status, head) = send_head(&entry_vm, "/order/1", "head");
+        assert_eq!(status, 200, "{body}: {head}");
+        assert!(head.contains("Content-Length: 5"), "{head}");
+        assert_eq!(server.count(), 2);
+    }
+}
