Test reused addresses and connections that end with their answer

Connections are kept by address. A machine that serves as another server on a kept connection, of the same or another service, refuses with 421: the requests run at another server or are refused as not run, none runs twice, and they succeed once the entry VM knows the new server.

Answers and refusals, with and without a copy behind them, are read whole if the end of the connection is in the same segment, if a reset follows, and if the server resets the connection because it has not read the body. No change of the code.

--- a/components/gateway/tests/relay/main.rs
+++ b/components/gateway/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod connection_ends;
 mod cut_off;
 mod endless_responses;
 mod faulty_servers;
@@ -12,4 +13,5 @@
 mod partition;
 mod pool_owner;
 mod refusal_copies;
+mod reused_addresses;
 mod stop;
