Show that copies of refusals belong to no later order

The own interface opens a connection for each attempt, but no test sent binding work through entry VMs to servers that send a refusal twice.

Change: scripted servers refuse each order twice and send a copy of the refusal with it, after it, behind a refusal that is cut in two, or behind the true answer, or an answer behind the refusal. The order is sent with one ticket or key to the entry VMs of both domains in turn, so it is also forwarded to its owner and relayed to the other domain.

--- a/components/deployment/tests/failures/main.rs
+++ b/components/deployment/tests/failures/main.rs
@@ -7,5 +7,6 @@
 mod keys;
 mod leaving;
 mod partition;
+mod refusal_copies;
 mod server_faults;
 mod slots;
