Give each process its own loan numbers

What could happen: a slot that an entry VM had lent was lent a second time, so that a server got more requests than it has slots.

Cause: every process numbered its loans from 1, and messages name a loan by its number only. A late return to a restarted lender was taken for the return of a loan of the new process. With loans of one number from two lenders of one server, a borrower would extend and return both at the same lender.

Change: the numbers of a process start at a random one below 2^63.

--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -46,8 +46,13 @@
 }
 
 impl Admission {
-    pub fn new(clock: Clock, rng: fastrand::Rng) -> Arc<Self> {
-        let ledger = Ledger::new(limits::slots::Settings::default(), clock.uptime());
+    pub fn new(clock: Clock, mut rng: fastrand::Rng) -> Arc<Self> {
+        let settings = limits::slots::Settings {
+            // The upper half is left for the numbers that follow.
+            number_offset: rng.u64(..u64::MAX / 2),
+            ..limits::slots::Settings::default()
+        };
+        let ledger = Ledger::new(settings, clock.uptime());
         let inner = Inner {
             ledger,
             services: BTreeMap::new(),
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -39,6 +39,7 @@
     pub use crate::agents::heartbeats::{
         Message as HeartbeatMessage, PATH as HEARTBEAT_PATH, members_hash,
     };
+    pub use crate::loans::{Answer as LoanAnswer, Message as LoanMessage, PATH as LOAN_PATH};
 }
 
 pub use error::{Error, Result};
--- a/components/limits/src/slots/ledger.rs
+++ b/components/limits/src/slots/ledger.rs
@@ -14,7 +14,8 @@
 /// Reply of a lender to a [`LoanRequest`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grant {
-    /// Number of the loan, unique at the lender.
+    /// Number of the loan, unique at the lender; unique among lenders by
+    /// [`Settings::number_offset`].
     pub loan: u64,
     /// Slots lent.
     pub slots: u32,
@@ -138,6 +139,7 @@
     /// [`Ledger::confirm`].
     pub fn new(settings: Settings, now: Duration) -> Self {
         Ledger {
+            last_number: settings.number_offset,
             settings,
             generation: None,
             in_force: None,
@@ -146,7 +148,6 @@
             permits: BTreeMap::new(),
             lent: BTreeMap::new(),
             borrowed: BTreeMap::new(),
-            last_number: 0,
             last_tick: now,
             confirmed: false,
         }
--- a/components/limits/src/slots/terms.rs
+++ b/components/limits/src/slots/terms.rs
@@ -22,6 +22,9 @@
     pub deadline_margin: Duration,
     /// Longest gap between ticks; after a longer one the process counts as paused.
     pub pause_limit: Duration,
+    /// Number after which loans and permits are numbered. Needs to differ widely between processes:
+    /// messages name a loan by its number only, also those to a lender that has restarted.
+    pub number_offset: u64,
 }
 
 impl Default for Settings {
@@ -32,6 +35,7 @@
             max_term: Duration::from_secs(10),
             deadline_margin: Duration::from_millis(250),
             pause_limit: Duration::from_secs(2),
+            number_offset: 0,
         }
     }
 }
