Do not replace a server's state by that of an earlier probe

What could happen: requests went to a server that was leaving, or a server that was ready again got none, until the next probe.

Cause: a health probe may take 1.5 s, 0.5 s to connect and 1 s to answer, and the next one starts after 1 s. The load in a response was kept only if no later probe had been answered, the state always.

Change: the state is kept by the same rule.

--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -136,9 +136,15 @@
         self.start_all_waiting();
     }
 
-    /// Records the state and load from a server's health response.
+    /// Records the state and load from a server's health response, unless a later probe has been
+    /// answered before.
     pub fn set_health(&self, server: &ServerId, state: State, report: LoadReport) {
-        self.change_server(server, |s| s.reported_state = state);
+        self.change_server(server, |s| {
+            if s.reported_at <= Some(report.measured_at) {
+                s.reported_at = Some(report.measured_at);
+                s.reported_state = state;
+            }
+        });
         for service in self.lock().services.values_mut() {
             service.selector.set_report(server, report);
         }
--- a/components/entry/src/admission/service.rs
+++ b/components/entry/src/admission/service.rs
@@ -37,8 +37,10 @@
     pub drained: bool,
     /// Whether the VM list reports the server as leaving.
     pub listed_leaving: bool,
-    /// State in the last health response.
+    /// State in the response to the latest answered health probe.
     pub reported_state: State,
+    /// When that probe was sent.
+    pub reported_at: Option<Duration>,
 }
 
 /// A request that waits for a slot.
@@ -89,6 +91,7 @@
                 drained: cfg.is_server_drained(&server.id),
                 listed_leaving: known.is_some_and(|s| s.listed_leaving),
                 reported_state: known.map_or(State::Ready, |s| s.reported_state),
+                reported_at: known.and_then(|s| s.reported_at),
             };
             servers.insert(server.id.clone(), state);
         }
