--- a/components/entry/src/admission.rs
+++ b/components/entry/src/admission.rs
@@ -46,8 +46,13 @@
 }
 
 impl Admission {
-    pub fn new(clock: Clock, rng: fastrand::Rng) -> Arc<Self> {
-        let ledger = Ledger::new(limits::slots::Settings::default(), clock.uptime());
+    pub fn new(clock: Clock, mut rng: fastrand::Rng) -> Arc<Self> {
+        let settings = limits::slots::Settings {
+            // The upper half is left for the numbers that follow.
+            number_offset: rng.u64(..u64::MAX / 2),
+            ..limits::slots::Settings::default()
+        };
+        let ledger = Ledger::new(settings, clock.uptime());
         let inner = Inner {
             ledger,
             services: BTreeMap::new(),
@@ -131,9 +136,15 @@
         self.start_all_waiting();
     }
 
-    /// Records the state and load from a server's health response.
+    /// Records the state and load from a server's health response, unless a later probe has been
+    /// answered before.
     pub fn set_health(&self, server: &ServerId, state: State, report: LoadReport) {
-        self.change_server(server, |s| s.reported_state = state);
+        self.change_server(server, |s| {
+            if s.reported_at <= Some(report.measured_at) {
+                s.reported_at = Some(report.measured_at);
+                s.reported_state = state;
+            }
+        });
         for service in self.lock().services.values_mut() {
             service.selector.set_report(server, report);
         }
