Refuse at once only what no server can still take

Cause: is_out_of_servers (before: cannot_be_served) counted every excluded server as one that had refused, and an empty list as one without hope.

Change: only retries are refused at once, and only while servers are in use.

--- a/components/dispatch/src/pool/grant.rs
+++ b/components/dispatch/src/pool/grant.rs
@@ -220,15 +220,18 @@
         (self.retries.count(now) as f64) + 1.0 <= allowed
     }
 
-    /// Whether all servers in use are excluded for the request, and no other region may take it.
-    fn cannot_be_served(&self, request: &AdmissionRequest) -> bool {
+    /// Whether a retry has no server left to wait for: those in use are all excluded, and no other
+    /// region may take it. Without servers in use, others may be listed soon.
+    fn is_out_of_servers(&self, request: &AdmissionRequest) -> bool {
         let excluded = &request.excluded_servers;
         let mut in_use = self
             .servers
             .values()
-            .filter(|s| s.server.ready && !s.evacuated);
-        !excluded.is_empty()
+            .filter(|s| s.server.ready && !s.evacuated)
+            .peekable();
+        request.retry
             && request.forward_regions.is_empty()
+            && in_use.peek().is_some()
             && in_use.all(|s| excluded.contains(&s.server.id))
     }
 
@@ -242,7 +245,7 @@
     ) -> Option<(RequestId, Decision)> {
         let request = &queued.request;
         let total = request.deadline_left + request.waited;
-        let max_wait = if request.hedge || self.cannot_be_served(request) {
+        let max_wait = if request.hedge || self.is_out_of_servers(request) {
             Duration::ZERO
         } else if overloaded {
             let target = request.target_left + request.waited;
