Test copies of refusals at reused addresses and between regions

A request can come twice on a connection without a caller that sends it again: a server that has restarted is listed by its old and its new id at one address until the old row expires. It refuses the request for the old id with 421, and the entry VM sends it to the new one.

Further tests: the connection to an entry VM of another region, an idle connection behind one that is passed over, the exact bound of 256 requests, and the result code of a refusal by all servers.

--- a/components/gateway/tests/relay/refusal_copies.rs
+++ b/components/gateway/tests/relay/refusal_copies.rs
@@ -7,8 +7,9 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, ThreadId};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use crate::forward::RemoteEntryVm;
 use crate::harness::{
     ServerAction, TestEntryVm, TestServer, ok_response, ok_response_bytes, read_response, request,
 };
@@ -158,8 +159,8 @@
     }
 }
 
-/// Guards against the same if the order comes back through another entry VM, which passes it on to
-/// this one.
+/// Guards against an order that is refused although it runs (REFUSED), if it comes back through another
+/// entry VM, which passes it on to this one.
 #[test]
 fn copied_refusal_does_not_hide_that_a_forwarded_order_runs() {
     let runs = Runs::default();
@@ -186,8 +187,8 @@
     read_response(&mut stream).expect("response")
 }
 
-/// Guards against the same for two callers that use one id at the same time: the refusal of one must not
-/// be taken for the answer to the other.
+/// Guards against a refusal of one caller's order that is taken for the answer to another caller's with
+/// the same id (REFUSED).
 #[test]
 fn copied_refusal_does_not_reach_another_caller_with_the_same_id() {
     let runs = Runs::default();
@@ -260,6 +261,7 @@
             let (answer, head, _) = entry_vm.send("POST", "/order/1", "a");
             assert_eq!(answer, 503, "{status}, time {i}: {head}");
             assert!(head.contains("x-outcome: not-run"), "{status}: {head}");
+            assert!(head.contains("x-result-code: 315"), "{status}: {head}");
             assert!(head.contains("Retry-After"), "{status}: {head}");
         }
         assert_eq!(entry_vm.send("POST", "/order/1", "a").0, 200, "{status}");
@@ -289,10 +291,91 @@
         assert_eq!(entry_vm.send("GET", "/read/1", &format!("a{i}")).0, 200);
     }
     assert_eq!(server.connection_count(), 1);
-    for i in 0..MAX_REQUESTS {
-        assert_eq!(entry_vm.send("GET", "/read/1", &format!("b{i}")).0, 200);
+    assert_eq!(entry_vm.send("GET", "/read/1", "b").0, 200);
+    assert_eq!(server.connection_count(), 2);
+}
+
+/// Guards against an order that is refused although it runs (REFUSED), without a caller that sends it
+/// again: a server that has restarted is listed by its old and its new id at one address. It refuses the
+/// request for the old id, and sends a copy of that refusal when the request comes for the new one.
+#[test]
+fn copied_refusal_of_an_old_server_id_does_not_hide_that_the_new_one_runs_an_order() {
+    for others in [0, 1] {
+        let runs = Runs::default();
+        let restarted = copying_server(REFUSALS[2], 1, &runs);
+        let others: Vec<TestServer> = (0..others)
+            .map(|_| copying_server(REFUSALS[2], 0, &runs))
+            .collect();
+        let listed: Vec<&TestServer> = [&restarted, &restarted]
+            .into_iter()
+            .chain(&others)
+            .collect();
+        let entry_vm = TestEntryVm::start(&listed);
+        for i in 0..6 {
+            let id = format!("a{i}");
+            let (status, head, body) = entry_vm.send("POST", "/order/1", &id);
+            let case = format!("{} others, order {i}: {head}", others.len());
+            assert_eq!((status, &*body), (200, &*id), "{case}");
+            assert_eq!(runs_of(&runs, &id), 1, "{case}");
+        }
+    }
+}
+
+/// Guards against an order that is refused although it runs in another region (REFUSED): the connection
+/// to the entry VM there must not carry an id twice either.
+#[test]
+fn copied_refusal_of_another_region_does_not_hide_that_an_order_runs() {
+    let refused = Mutex::new(Refused::default());
+    let region = TestServer::start(move |_, id| {
+        let refusal = format!(
+            "HTTP/1.1 503 Busy\r\nX-Id: {id}\r\nX-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+        );
+        let mut refused = refused.lock().unwrap();
+        let connection = (thread::current().id(), id.to_owned());
+        let copies = refused.by_connection.get(&connection).copied();
+        let mut bytes = refusal.repeat(copies.unwrap_or(0)).into_bytes();
+        if refused.by_id.insert(id.to_owned(), 1).is_none() {
+            refused.by_connection.insert(connection, 1);
+            bytes.extend(refusal.into_bytes());
+        } else {
+            bytes.extend(ok_response_bytes(id, id));
+        }
+        vec![ServerAction::Send(bytes)]
+    });
+    let entry_vm = TestEntryVm::start(&[]);
+    let _region = RemoteEntryVm::start_in("west", "alpen", &entry_vm, &region);
+    let start = Instant::now();
+    while entry_vm.send("GET", "/read/1", "probe").0 != 200 {
+        assert!(start.elapsed() < Duration::from_secs(10), "not forwarded");
+    }
+    for i in 0..4 {
+        let id = format!("a{i}");
+        assert_eq!(entry_vm.send("POST", "/order/1", &id).0, 503, "order {i}");
+        let (status, _, body) = entry_vm.send("POST", "/order/1", &id);
+        assert_eq!((status, body), (200, id));
     }
+}
+
+/// Guards against new connections, and against closed ones, where another idle connection has not
+/// carried the id: servers accept few connections.
+#[test]
+fn another_idle_connection_is_used_and_the_passed_over_one_kept() {
+    let server = TestServer::start(|_, id| {
+        let mut actions = vec![ServerAction::Wait(Duration::from_millis(100))];
+        actions.extend(ok_response(id, "done"));
+        actions
+    });
+    let entry_vm = TestEntryVm::start(&[&server]);
+    thread::scope(|scope| {
+        for id in ["x", "y"] {
+            scope.spawn(|| entry_vm.send("GET", "/read/1", id));
+        }
+    });
     assert_eq!(server.connection_count(), 2);
+    for id in ["x", "y", "z"] {
+        assert_eq!(entry_vm.send("GET", "/read/1", id).0, 200);
+        assert_eq!(server.connection_count(), 2, "{id}");
+    }
 }
 
 /// Encodes an answer with a body of five bytes; the answer to a HEAD request has none.
