Tell refusals without a statement and passed over connections in the log

Change: attempt_refused covers both kinds, with outcome and address; connections_passed_over counts the connections and names the one taken. ConnectionUse becomes ConnectionHistory, and sent is the one word for a request on a connection.

--- a/components/dispatch/tests/pool/decisions.rs
+++ b/components/dispatch/tests/pool/decisions.rs
@@ -245,6 +245,9 @@
     ));
 }
 
+/// Name of a case, preparation of the pool, and request.
+type Case<'a> = (&'a str, &'a dyn Fn(&mut Pool), AdmissionRequest);
+
 /// Guards against a request that is refused at once although a server or another region may take it
 /// soon.
 #[test]
@@ -269,7 +272,7 @@
         pool.upsert_server(cold, ms(0));
         pool.set_isolated(true);
     };
-    let cases: [(&str, &dyn Fn(&mut Pool), AdmissionRequest); 6] = [
+    let cases: [Case<'_>; 6] = [
         ("another server is busy", &busy, retry(2)),
         ("another server is not reached", &unreachable, retry(2)),
         ("another server is cold", &cold, retry(2)),
--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -7,7 +7,7 @@
 use futures_lite::{AsyncWriteExt, FutureExt};
 
 use crate::dialect::HeaderNames;
-use crate::http::{Body, Connection, ConnectionUse, Error, Framing, ResponseHead};
+use crate::http::{Body, Connection, ConnectionHistory, Error, Framing, ResponseHead};
 use crate::idle::IdleConnections;
 use crate::memory::{BodyMemory, Reservation};
 
@@ -41,13 +41,14 @@
 /// A response whose body is complete or exceeds the buffer.
 #[derive(Debug)]
 pub struct ReceivedResponse {
+    pub address: SocketAddr,
     pub head: ResponseHead,
     /// Body, or its start if `rest` is set.
     pub body: Vec<u8>,
     /// Reservation of the memory that `body` takes beyond `MIN_BODY_BUFFER_BYTES`.
     pub memory: Reservation,
-    /// The connection on which the response arrived, as it was before the request.
-    pub via: ConnectionUse,
+    /// History of the connection before the request.
+    pub via: ConnectionHistory,
     /// Connection and read state of a body that exceeds the buffer.
     pub rest: Option<(Connection, Body)>,
 }
@@ -70,8 +71,8 @@
     method != "HEAD"
 }
 
-/// Takes a connection that has been idle for less than `max_idle` and has not carried the request
-/// `id`, or opens one within `limit`.
+/// Takes a connection that has been idle for less than `max_idle` and on which the request `id` was
+/// not sent, or opens one within `limit`.
 pub async fn connect(
     address: SocketAddr,
     method: &str,
@@ -119,6 +120,7 @@
     if !body.is_complete() {
         let rest = Some((connection, body));
         return Ok(ReceivedResponse {
+            address: out.address,
             head,
             body: bytes,
             memory,
@@ -135,6 +137,7 @@
         idle.put(out.address, connection, keep_alive_timeout(&head), now());
     }
     Ok(ReceivedResponse {
+        address: out.address,
         head,
         body: bytes,
         memory,
@@ -171,7 +174,7 @@
     connection: &mut Connection,
     out: &OutgoingRequest<'_>,
     names: &HeaderNames,
-    via: ConnectionUse,
+    via: ConnectionHistory,
     request_written: &mut bool,
 ) -> Result<ResponseHead, Error> {
     let mut stream = connection.stream();
@@ -198,7 +201,7 @@
     connection: &mut Connection,
     out: &OutgoingRequest<'_>,
     names: &HeaderNames,
-    via: ConnectionUse,
+    via: ConnectionHistory,
 ) -> Result<ResponseHead, Error> {
     for _ in 0..MAX_RESPONSE_HEADS {
         let head = connection.read_response_head(MAX_HEAD_BYTES).await?;
--- a/components/gateway/src/http/connection.rs
+++ b/components/gateway/src/http/connection.rs
@@ -41,21 +41,21 @@
     sent_ids: SentIds,
 }
 
-/// State of a connection when a request was sent on it, for log lines.
+/// What was sent on a connection before a request, for log lines.
 #[derive(Clone, Copy, Debug)]
-pub struct ConnectionUse {
+pub struct ConnectionHistory {
     /// Number of the connection, unique within the process.
     pub number: u64,
     /// Time since the connection was opened.
     pub age: Duration,
     /// Number of requests sent on it before.
     pub earlier_requests: usize,
-    /// Whether a request with the same id was sent on it before. A refusal may then be a copy of
-    /// that to the earlier request.
+    /// Whether a request with the same id was sent on it before. A refusal could then be a copy of
+    /// that to the earlier request; idle connections are chosen so that this does not occur.
     pub id_sent_before: bool,
 }
 
-impl fmt::Display for ConnectionUse {
+impl fmt::Display for ConnectionHistory {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
@@ -98,10 +98,10 @@
         Ok(Connection::new(stream))
     }
 
-    /// Records that a request is about to be written. Returns the state of the connection before it.
-    pub fn begin_request(&mut self, id: &str) -> ConnectionUse {
+    /// Records that a request is about to be written. Returns what was sent before.
+    pub fn begin_request(&mut self, id: &str) -> ConnectionHistory {
         let now = Instant::now();
-        let before = ConnectionUse {
+        let before = ConnectionHistory {
             number: self.number,
             age: now.saturating_duration_since(self.opened_at),
             earlier_requests: self.sent_ids.len(),
@@ -117,17 +117,17 @@
         self.number
     }
 
-    /// Returns the number of requests written to the connection.
+    /// Returns the number of requests sent on the connection.
     pub fn sent_count(&self) -> usize {
         self.sent_ids.len()
     }
 
-    /// Whether no request was written to the connection yet.
+    /// Whether no request was sent on the connection yet.
     pub fn is_new(&self) -> bool {
         self.sent_count() == 0
     }
 
-    /// Whether a request with this id was written to the connection.
+    /// Whether a request with this id was sent on the connection.
     pub fn has_sent(&self, id: &str) -> bool {
         self.sent_ids.contains(id)
     }
--- a/components/gateway/src/http/mod.rs
+++ b/components/gateway/src/http/mod.rs
@@ -10,7 +10,7 @@
 mod sent_ids;
 
 pub use body::{Body, Framing};
-pub use connection::{Connection, ConnectionUse};
+pub use connection::{Connection, ConnectionHistory};
 pub use error::{Error, Result};
 pub use head::{Header, RequestHead, ResponseHead, is_hop_by_hop};
 pub use sent_ids::MAX_SENT_IDS;
--- a/components/gateway/src/http/sent_ids.rs
+++ b/components/gateway/src/http/sent_ids.rs
@@ -1,4 +1,4 @@
-//! Ids of the requests that were sent on a connection.
+//! Record of request ids.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -22,7 +22,7 @@
         self.hashes.contains(&hash(id))
     }
 
-    /// Returns the number of requests sent.
+    /// Returns the number of ids inserted, repeated ones included.
     pub fn len(&self) -> usize {
         self.hashes.len()
     }
--- a/components/gateway/src/idle.rs
+++ b/components/gateway/src/idle.rs
@@ -30,7 +30,8 @@
 
 impl IdleConnections {
     /// Takes the most recently used connection that is still usable, has been idle for less than
-    /// `max_idle` and has not carried the request `id` before; closes the unusable ones before it.
+    /// `max_idle` and on which the request `id` was not sent before. Connections on which it was sent
+    /// stay; unusable ones are closed.
     ///
     /// A server may repeat the answer to an earlier request late. If that request had the same id, the
     /// copy could not be told from the answer.
@@ -42,7 +43,7 @@
         now: Duration,
     ) -> Option<Connection> {
         loop {
-            let mut idle = self.pop_without(address, id)?;
+            let mut idle = self.pop_without_id(address, id)?;
             let reusable = now < idle.expires_at && now.saturating_sub(idle.idle_since) < max_idle;
             if reusable && !idle.connection.is_stale().await {
                 return Some(idle.connection);
@@ -50,23 +51,27 @@
         }
     }
 
-    /// Removes and returns the most recently used connection that has not carried the request `id`.
-    fn pop_without(&self, address: SocketAddr, id: &str) -> Option<IdleConnection> {
+    /// Removes and returns the most recently used connection on which the request `id` was not sent.
+    fn pop_without_id(&self, address: SocketAddr, id: &str) -> Option<IdleConnection> {
         let mut by_address = self.lock();
         let connections = by_address.get_mut(&address)?;
-        let last = connections.len().checked_sub(1)?;
         let found = connections.iter().rposition(|i| !i.connection.has_sent(id));
-        if found != Some(last) {
-            metrics::counter!("gateway_connections_passed_over_total").increment(1);
-            let number = connections[last].connection.number();
+        let passed_over = connections.len() - found.map_or(0, |i| i + 1);
+        let taken = found.map(|i| connections.remove(i));
+        if passed_over > 0 {
+            metrics::counter!("gateway_connections_passed_over_total")
+                .increment(passed_over as u64);
             log::info!(
-                "event=connection_passed_over id={id} address={address} connection={number}"
+                "event=connections_passed_over id={id} address={address} count={passed_over} taken={}",
+                taken
+                    .as_ref()
+                    .map_or("none".to_owned(), |i| i.connection.number().to_string())
             );
         }
-        found.map(|i| connections.remove(i))
+        taken
     }
 
-    /// Keeps a connection for reuse, unless it has carried [`MAX_SENT_IDS`] requests; `peer_timeout` is
+    /// Keeps a connection for reuse, unless [`MAX_SENT_IDS`] requests were sent on it; `peer_timeout` is
     /// the idle timeout that the peer states.
     pub fn put(
         &self,
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -374,11 +374,13 @@
     let may_retry = plan.may_retry(history);
     let status = received.head.status;
     let failed = is_failure(status);
-    trace.record_attempt(
-        &slot.grant.server,
-        if failed { "error" } else { "answered" },
-        elapsed,
-    );
+    let server = &slot.grant.server;
+    if promises_not_run(status) {
+        // The server does not state that it has not run the request.
+        trace.record_refusal(server, "error", &received, elapsed);
+    } else {
+        trace.record_attempt(server, if failed { "error" } else { "answered" }, elapsed);
+    }
     slot.set_outcome(if failed {
         Outcome::Failed
     } else {
--- a/components/gateway/src/relay/trace.rs
+++ b/components/gateway/src/relay/trace.rs
@@ -85,8 +85,7 @@
         self.record_attempt(destination, outcome, elapsed);
     }
 
-    /// Logs a refusal by a server or another entry VM that says that the request has not run, and
-    /// records it as outcome.
+    /// Logs a response with a status that refuses the request, and records its outcome.
     pub fn record_refusal(
         &mut self,
         destination: &str,
@@ -95,8 +94,9 @@
         elapsed: Duration,
     ) {
         log::info!(
-            "event=attempt_refused id={} place={destination} outcome={outcome} status={} {} took_ms={}",
+            "event=attempt_refused id={} place={destination} address={} outcome={outcome} status={} {} took_ms={}",
             self.id,
+            received.address,
             received.head.status,
             received.via,
             elapsed.as_millis()
--- a/components/gateway/tests/refusal_log.rs
+++ b/components/gateway/tests/refusal_log.rs
@@ -39,8 +39,8 @@
     value.map(str::to_owned)
 }
 
-/// Guards against a log that does not show whether a refused request had been sent on its connection
-/// before, and whether a skipped answer is a copy of an earlier one.
+/// Guards against a log that shows neither whether a server stated that it has not run a request, nor
+/// whether the request had been sent on its connection before, and whether a skipped answer is a copy of an earlier one.
 #[test]
 fn log_tells_copies_of_refusals_from_refusals() {
     // The order is refused, comes back and runs; the refusal is copied into the connection on which it
@@ -50,6 +50,10 @@
         match n {
             0 => return shed_response(id),
             2 => actions.extend(shed_response("order")),
+            3 => {
+                let bare = format!("HTTP/1.1 429 X\r\nX-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+                return vec![ServerAction::Send(bare.into_bytes())];
+            }
             _ => {}
         }
         actions.extend(ok_response(id, "done"));
@@ -63,17 +67,24 @@
     // The connection of the second try is the last used one.
     assert_eq!(entry_vm.send("GET", "/read/1", "read").0, 200);
 
-    let refused_on = logged("attempt_refused", "order", "connection").expect("refusal");
     let refusal = |key: &str| logged("attempt_refused", "order", key);
     assert_eq!(refusal("status").as_deref(), Some("503"));
     assert_eq!(refusal("place").as_deref(), Some("s0"));
     assert_eq!(refusal("earlier_requests").as_deref(), Some("0"));
     assert_eq!(refusal("id_sent_before").as_deref(), Some("false"));
+    assert!(refusal("connection").is_some());
     assert!(refusal("connection_age_ms").is_some());
-    let passed_over = logged("connection_passed_over", "order", "connection");
-    assert_eq!(passed_over, Some(refused_on));
+    let passed_over = |key: &str| logged("connections_passed_over", "order", key);
+    assert_eq!(passed_over("count").as_deref(), Some("1"));
+    assert_eq!(passed_over("taken").as_deref(), Some("none"));
+    assert_eq!(passed_over("address"), refusal("address"));
     let foreign = |key: &str| logged("foreign_answer", "read", key);
     assert_eq!(foreign("answer_id").as_deref(), Some("order"));
     assert_eq!(foreign("answer_id_sent_before").as_deref(), Some("true"));
     assert_eq!(foreign("earlier_requests").as_deref(), Some("1"));
+
+    assert_eq!(entry_vm.send("POST", "/order/1", "bare").0, 502);
+    let bare = |key: &str| logged("attempt_refused", "bare", key);
+    assert_eq!(bare("outcome").as_deref(), Some("error"));
+    assert_eq!(bare("status").as_deref(), Some("429"));
 }
