Show that an order runs twice in one send at a restarted server

On a route with three attempts the copy of the old id's refusal sends an order on to another server while the restarted one runs it.

--- a/components/gateway/tests/relay/refusal_copies.rs
+++ b/components/gateway/tests/relay/refusal_copies.rs
@@ -12,6 +12,7 @@
 use crate::forward::RemoteEntryVm;
 use crate::harness::{
     ServerAction, TestEntryVm, TestServer, ok_response, ok_response_bytes, read_response, request,
+    routes,
 };
 
 /// Statuses with which servers refuse.
@@ -295,8 +296,8 @@
     assert_eq!(server.connection_count(), 2);
 }
 
-/// Guards against an order that is refused although it runs (REFUSED), without a caller that sends it
-/// again: a server that has restarted is listed by its old and its new id at one address. It refuses the
+/// Guards against an order that is refused although it runs (REFUSED), or runs at two servers (TWICE),
+/// without a caller that sends it again: a server that has restarted is listed by its old and its new id at one address. It refuses the
 /// request for the old id, and sends a copy of that refusal when the request comes for the new one.
 #[test]
 fn copied_refusal_of_an_old_server_id_does_not_hide_that_the_new_one_runs_an_order() {
@@ -311,12 +312,18 @@
             .chain(&others)
             .collect();
         let entry_vm = TestEntryVm::start(&listed);
+        let mut routes = routes();
+        routes.generation += 1;
+        for route in routes.hosts.values_mut().flatten() {
+            route.max_attempts = 3;
+        }
+        assert!(entry_vm.node.set_routes(routes));
         for i in 0..6 {
             let id = format!("a{i}");
             let (status, head, body) = entry_vm.send("POST", "/order/1", &id);
             let case = format!("{} others, order {i}: {head}", others.len());
-            assert_eq!((status, &*body), (200, &*id), "{case}");
             assert_eq!(runs_of(&runs, &id), 1, "{case}");
+            assert_eq!((status, &*body), (200, &*id), "{case}");
         }
     }
 }
