Announce the end of connections in the tests of ending connections

Under load (16 to 20 busy processes on 8 cores), answer_before_the_end_of_its_connection_is_read or refusal_before_the_end_of_its_connection_is_read failed in 2 of 3 and in 4 of 12 runs: 502 where the server resets the connection after its answer.

Trace: reads failed with a reset and no byte had arrived, on connections that had been kept. The server thread was late between writing an answer and closing, so the next order went out on the connection before its reset. The outcome of that order is unknown, and 502 says so: the case is allowed. With a wait between answer and reset, order 1 failed in 30 of 30 runs.

Change: the answers carry Connection: close. What the tests check, that an answer which has arrived before the end of its connection is read, stays.

--- a/components/gateway/tests/relay/connection_ends.rs
+++ b/components/gateway/tests/relay/connection_ends.rs
@@ -87,7 +87,15 @@
         received.push(id.clone());
         received.len() - 1
     };
-    finish(stream, end, &answer(n, &id));
+    finish(stream, end, &closing(&answer(n, &id)));
+}
+
+/// Adds `Connection: close` to an answer. Without it, the entry VM may send the next request before the
+/// connection ends, and the outcome of that request is unknown.
+fn closing(answer: &[u8]) -> Vec<u8> {
+    let text = String::from_utf8_lossy(answer);
+    text.replace("\r\nX-Id:", "\r\nConnection: close\r\nX-Id:")
+        .into_bytes()
 }
 
 /// Writes an answer and ends the connection.
