--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -41,6 +41,7 @@
 /// A response whose body is complete or exceeds the buffer.
 #[derive(Debug)]
 pub struct ReceivedResponse {
+    /// Address of the server or entry VM.
     pub address: SocketAddr,
     pub head: ResponseHead,
     /// Body, or its start if `rest` is set.
