--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -55,7 +55,8 @@
 /// Time between checks for open work during a graceful stop.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Starts an entry VM. It becomes ready once it has a configuration and a complete list of servers.
+/// Starts an entry VM. It becomes ready once it has a configuration and a complete list of servers,
+/// and knows the other entry VMs.
 pub async fn start(settings: Settings, dialect: Dialect, clock: Clock) -> Result<Arc<Node>> {
     let own = Member {
         id: settings.id.clone(),
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -38,6 +38,7 @@
     pub(crate) idle: IdleConnections,
     routes: Mutex<Option<Arc<RouteTable>>>,
     servers_listed: AtomicBool,
+    members_known: AtomicBool,
     /// Longest deadline seen on each route, by route name. A caller's retries have less time
     /// left, so the longest deadline is that of first attempts.
     longest_deadlines: Mutex<HashMap<Box<str>, Duration>>,
@@ -67,6 +68,7 @@
             idle: IdleConnections::default(),
             routes: Mutex::new(None),
             servers_listed: AtomicBool::new(false),
+            members_known: AtomicBool::new(false),
             longest_deadlines: Mutex::default(),
             body_memory: BodyMemory::new(body_memory),
             open_requests: AtomicUsize::new(0),
@@ -192,6 +194,15 @@
         }
     }
 
+    /// Records that the other entry VMs have had time to answer; one of the conditions for readiness.
+    /// Without them, this one would take itself for the owner of all pools.
+    pub fn mark_members_known(&self) {
+        if !self.members_known.swap(true, Ordering::Relaxed) {
+            log::info!("event=members_known");
+            self.update_state();
+        }
+    }
+
     /// Sets the evacuated failure domains; their servers get no requests.
     pub fn evacuate(&self, domains: Vec<DomainId>) {
         log::info!("event=evacuated domains={}", domains.join(","));
@@ -242,7 +253,9 @@
     }
 
     fn update_state(&self) {
-        let complete = self.routes().is_some() && self.servers_listed.load(Ordering::Relaxed);
+        let complete = self.routes().is_some()
+            && self.servers_listed.load(Ordering::Relaxed)
+            && self.members_known.load(Ordering::Relaxed);
         if complete && self.dispatcher.state() == MemberState::Starting {
             log::info!("event=ready uptime_ms={}", self.now().as_millis());
             self.dispatcher.set_state(MemberState::Ready);
--- a/components/gateway/tests/relay/harness.rs
+++ b/components/gateway/tests/relay/harness.rs
@@ -302,6 +302,7 @@
             node.put_server(server_entry(i, server.address));
         }
         node.mark_servers_listed();
+        node.mark_members_known();
         node.set_platform_connected(true);
         assert!(node.set_routes(routes()));
         TestEntryVm {
