Choose a pool owner among the leaving members of a region without others

Cause: while all entry VMs of a region leave, no member owned its pools, and each entry VM granted all slots of all servers on its own, cold ones included.

Change: without an available member, the owner is chosen among those that are leaving and alive, in the same way.

Result: the new test fails without the change (no owner).

--- a/components/dispatch/src/members.rs
+++ b/components/dispatch/src/members.rs
@@ -295,16 +295,25 @@
         region: &str,
         now: Duration,
     ) -> impl Iterator<Item = Candidate<'a>> {
-        let own = (self.own.state == MemberState::Ready).then_some((
-            self.own_hash,
-            &self.own,
-            self.own_capacity,
-        ));
-        let others = self.available_peers(now);
+        self.candidates_in_state(MemberState::Ready, region, now)
+    }
+
+    /// Returns the members of a region that are alive and in the given state, itself included.
+    fn candidates_in_state<'a>(
+        &'a self,
+        state: MemberState,
+        region: &str,
+        now: Duration,
+    ) -> impl Iterator<Item = Candidate<'a>> {
+        let own = (self.own_hash, &self.own, self.own_capacity);
+        let others = self
+            .others
+            .values()
+            .filter(move |p| self.is_peer_alive(p, now));
         others
             .map(move |p| self.candidate(p, now))
-            .chain(own)
-            .filter(move |(_, m, _)| &*m.region == region)
+            .chain(std::iter::once(own))
+            .filter(move |(_, m, _)| m.state == state && &*m.region == region)
     }
 
     /// Whether a member is ready and has sent a recent heartbeat.
@@ -318,9 +327,12 @@
     }
 
     fn is_peer_available(&self, peer: &Peer, now: Duration) -> bool {
+        peer.member.state == MemberState::Ready && self.is_peer_alive(peer, now)
+    }
+
+    fn is_peer_alive(&self, peer: &Peer, now: Duration) -> bool {
         let timeout = self.liveness_timeout(&peer.member);
-        peer.member.state == MemberState::Ready
-            && peer.last_heartbeat.is_some_and(|at| at + timeout > now)
+        peer.last_heartbeat.is_some_and(|at| at + timeout > now)
     }
 
     fn available_peers(&self, now: Duration) -> impl Iterator<Item = &Peer> {
@@ -348,6 +360,15 @@
         members.into_iter().map(|(_, m, _)| m).collect()
     }
 
+    /// Returns the members that have sent a recent heartbeat, whatever their state, itself included.
+    pub fn alive(&self, now: Duration) -> impl Iterator<Item = &Member> {
+        let others = self
+            .others
+            .values()
+            .filter(move |p| self.is_peer_alive(p, now));
+        others.map(|p| &p.member).chain(std::iter::once(&self.own))
+    }
+
     /// Returns the available members, itself included.
     pub fn available(&self, now: Duration) -> Vec<&Member> {
         let own = (self.own.state == MemberState::Ready).then_some(&self.own);
@@ -368,13 +389,21 @@
     /// among the larger members: the owner decides for all requests of its region and receives those
     /// that other regions forward.
     ///
-    /// Members that see the same available members choose the same owner.
+    /// Members that see the same available members choose the same owner. While none is available,
+    /// they choose one that is leaving, so that their grants share one count of the slots in use.
     pub fn pool_owner(&self, service: &str, region: &str, now: Duration) -> Option<&Member> {
         let service = hash(service);
-        let largest = largest_capacity(self.candidates(region, now));
+        let any_ready = self.candidates(region, now).next().is_some();
+        let state = if any_ready {
+            MemberState::Ready
+        } else {
+            MemberState::Leaving
+        };
+        let candidates = || self.candidates_in_state(state, region, now);
+        let largest = largest_capacity(candidates());
         // Prefer members that receive platform updates; others would grant slots of servers that
         // are leaving.
-        self.candidates(region, now)
+        candidates()
             .max_by_key(|(hash, m, capacity)| {
                 let rank = rank(*capacity, largest);
                 (m.platform_connected, rank, combine_hashes(*hash, service))
--- a/components/dispatch/tests/members.rs
+++ b/components/dispatch/tests/members.rs
@@ -52,6 +52,33 @@
     }
 }
 
+/// Guards against several owners that each grant all slots of a region, and too many requests to its
+/// cold servers (rule FAILBACK), while all of its members leave at once.
+#[test]
+fn leaving_members_agree_on_pool_owner() {
+    let names = ["a", "b", "c"];
+    let list = |own, state: MemberState| {
+        let mut members = MemberList::new(member(own, state));
+        for other in names {
+            members.record_heartbeat(member(other, state), at(0));
+        }
+        members
+    };
+    let owner = |members: &MemberList| {
+        let owner = members.pool_owner("orders", "donau", at(10));
+        owner.map(|o| o.id.clone())
+    };
+    let owners = names.map(|own| owner(&list(own, MemberState::Leaving)));
+    assert!(
+        owners[0].is_some() && owners.iter().all(|o| *o == owners[0]),
+        "{owners:?}"
+    );
+    assert_eq!(owner(&list("a", MemberState::Starting)), None);
+    let mut members = list("a", MemberState::Leaving);
+    members.record_heartbeat(member("d", MemberState::Ready), at(10));
+    assert_eq!(owner(&members).as_deref(), Some("d"));
+}
+
 /// Guards against grants for servers that have left (rule DRAIN), by an owner that is cut off from
 /// the platform's store.
 #[test]
