Name entry VMs in look-ups by an order of preference

Cause: look-ups filtered entry VMs: those that leave and, for hosts with homes, those of other regions were never named.

Change: dispatch::select ranks the entry VMs: ready ones of the caller's domain, its region and other allowed regions; then those that are cut off from the servers and pass requests on; then those that leave; then ready ones of regions that not every route allows, which pass requests on to an allowed one. An entry VM is named only if it takes requests of at least one route of the host, and never in an evacuated domain. The lifetime of an answer shrinks to a half or a quarter with the rank, and ends with the time that a leaving entry VM has left. Entry VMs that leave say with their heartbeats for how long they take requests; they go on sending them to other regions while no other of their region is ready. An entry VM that is cut off passes requests on to one that leaves, if no other is left and the request ends in time.

The routes of a host are compared once for each region instead of once for each entry VM.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 mod balance;
 mod cache_model;
 mod health;
+mod look_up;
 mod members;
 mod pool;
 mod queue;
@@ -17,6 +18,7 @@
 mod window;
 
 pub use health::Outcome;
+pub use look_up::{Candidate, Distance, HostRoute, LookUp, Quality, Selection, select};
 pub use members::{Capacity, Member, MemberList, MemberState};
 pub use pool::{
     AdmissionRequest, Decision, Grant, Placement, Pool, PoolSnapshot, RefuseReason, RequestId,
--- a/components/gateway/src/callers/session.rs
+++ b/components/gateway/src/callers/session.rs
@@ -109,7 +109,7 @@
             match self.next_event().await {
                 Event::Answer(answer) => {
                     // A stopping process answers the requests that it has taken, and no more.
-                    self.stop_reading |= self.node.leaving_since().is_some();
+                    self.stop_reading |= self.node.leaving_until().is_some();
                     self.pending.pop_front();
                     let close = self.stop_reading && self.pending.is_empty();
                     self.write(*answer, close).await?;
--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -4,6 +4,7 @@
 mod heartbeats;
 mod inbox;
 mod inner;
+mod leave;
 mod ownership;
 mod periodic;
 mod progress;
@@ -18,10 +19,14 @@
 
 use async_io::Async;
 use config::{DomainId, RegionId, ServerId, ServiceId};
-use dispatch::{Decision, Member, MemberState, Outcome, PoolSettings, RefuseReason, Server};
+use dispatch::{
+    Decision, HostRoute, LookUp, Member, MemberState, Outcome, PoolSettings, RefuseReason,
+    Selection, Server,
+};
 use runtime::Clock;
 use smallvec::SmallVec;
 
+use crate::dialect::LookUpQuery;
 use crate::freshness::Freshness;
 use crate::message::{self, MAX_DATAGRAM};
 use crate::settings::Settings;
@@ -104,6 +109,12 @@
         self.with_state(|inner, now| inner.set_state(state, now));
     }
 
+    /// Starts the graceful stop and announces it: requests are taken if their deadlines pass before
+    /// `until`. May be called again with another time.
+    pub fn leave(&self, until: Duration) {
+        self.with_state(|inner, now| inner.leave(until, now));
+    }
+
     /// Sets whether this entry VM receives updates from the platform.
     pub fn set_platform_connected(&self, platform_connected: bool) {
         self.with_state(|inner, now| inner.set_platform_connected(platform_connected, now));
@@ -155,11 +166,22 @@
         inner.members.available(now).into_iter().cloned().collect()
     }
 
-    /// Returns the available members that are not cut off from the servers, this one included.
-    pub fn reaching_members(&self) -> Vec<Member> {
+    /// Selects the entry VMs that the answer to a look-up names, and calls `encode` with them.
+    pub fn select<T>(
+        &self,
+        query: &LookUpQuery,
+        routes: &[HostRoute],
+        encode: impl FnOnce(&Selection) -> T,
+    ) -> Option<T> {
         let inner = self.lock();
-        let members = inner.reaching_members(self.now());
-        members.into_iter().cloned().collect()
+        let look_up = LookUp {
+            region: &query.region,
+            domain: &query.domain,
+            routes,
+            evacuated: &inner.evacuated,
+        };
+        let candidates = inner.look_up_candidates(self.now());
+        dispatch::select(&look_up, &candidates).map(|s| encode(&s))
     }
 
     /// Records that a connection to a server was opened.
@@ -187,9 +209,10 @@
         fastrand::choice(servers.collect::<Vec<_>>())
     }
 
-    /// Returns the peer address of another entry VM of the region that reaches the servers.
-    pub fn draw_relay(&self) -> Option<SocketAddr> {
-        self.lock().draw_relay(self.now())
+    /// Returns the peer address of another entry VM of the region that reaches the servers, for a
+    /// request that ends within `remaining`.
+    pub fn draw_relay(&self, remaining: Duration) -> Option<SocketAddr> {
+        self.lock().draw_relay(remaining, self.now())
     }
 
     /// Returns the peer addresses of the entry VMs in this failure domain that have been heard from
--- a/components/gateway/src/dispatcher/heartbeats.rs
+++ b/components/gateway/src/dispatcher/heartbeats.rs
@@ -61,6 +61,8 @@
             self.send_last_changes(now);
             self.expire_cut_off_members(now);
             self.announce_cut_off();
+            self.expire_leaving_members();
+            self.announce_leaving(now, |m, region| *m.region == *region);
         }
         if is_due(
             &mut self.due.other_regions,
@@ -71,6 +73,7 @@
                 self.contact_seeds();
             }
             if self.represents_region(now) {
+                self.announce_leaving(now, |m, region| *m.region != *region);
                 self.send_alive(now, |m, region, silent| *m.region != *region && !silent);
             }
         }
--- a/components/gateway/src/dispatcher/inbox.rs
+++ b/components/gateway/src/dispatcher/inbox.rs
@@ -69,6 +69,10 @@
             Message::Capacities(capacities) => self.receive_capacities(capacities, now),
             Message::LastChanges(changes) => self.receive_last_changes(changes, from, now),
             Message::CutOff { incarnation } => self.receive_cut_off(incarnation, now),
+            Message::Leaving {
+                incarnation,
+                remaining,
+            } => self.receive_leaving(incarnation, remaining, now),
             Message::PoolSnapshots { region, pools, .. } => self.receive_pools(&region, pools, now),
         }
     }
--- a/components/gateway/src/dispatcher/inner.rs
+++ b/components/gateway/src/dispatcher/inner.rs
@@ -77,6 +77,11 @@
     pub reachability: Reachability,
     /// Other entry VMs that are cut off from the servers, and when they last said so.
     pub cut_off_members: BTreeMap<Incarnation, Duration>,
+    /// Uptime by which the deadlines of requests must have passed; `None` if this entry VM is not
+    /// leaving.
+    pub leaving_until: Option<Duration>,
+    /// The same for other entry VMs that are leaving.
+    pub leaving_members: BTreeMap<Incarnation, Duration>,
     pub due: DueTimes,
     pub next_snapshot_at: Duration,
     /// Members removed after a long silence that [`super::Dispatcher::take_expired_members`] has
@@ -106,6 +111,8 @@
             progress: Progress::default(),
             reachability: Reachability::default(),
             cut_off_members: BTreeMap::new(),
+            leaving_until: None,
+            leaving_members: BTreeMap::new(),
             due: DueTimes::default(),
             next_snapshot_at: Duration::ZERO,
             expired_members: Vec::new(),
--- a/components/gateway/src/dispatcher/reach.rs
+++ b/components/gateway/src/dispatcher/reach.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use config::Incarnation;
-use dispatch::Member;
+use dispatch::{Member, MemberState};
 
 use super::inner::Inner;
 use crate::message::Message;
@@ -76,30 +76,42 @@
 
     /// Returns the available members that are not cut off, this one included.
     pub fn reaching_members(&self, now: Duration) -> Vec<&Member> {
-        let own = self.members.own.incarnation;
         let mut available = self.members.available(now);
-        available.retain(|m| {
-            if m.incarnation == own {
-                return !self.reachability.is_cut_off();
-            }
-            !self.cut_off_members.contains_key(&m.incarnation)
-        });
+        available.retain(|m| self.reaches_servers(m));
         available
     }
 
-    /// Returns the peer address of another entry VM of the region that is not cut off. The larger
-    /// ones are drawn more often, in proportion to their processors.
-    pub fn draw_relay(&self, now: Duration) -> Option<SocketAddr> {
+    /// Whether a member is not cut off from the servers, as far as is known.
+    pub fn reaches_servers(&self, member: &Member) -> bool {
+        if member.incarnation == self.members.own.incarnation {
+            return !self.reachability.is_cut_off();
+        }
+        !self.cut_off_members.contains_key(&member.incarnation)
+    }
+
+    /// Returns the peer address of another entry VM of the region that is not cut off, for a request
+    /// that ends within `remaining`. The larger ones are drawn more often, in proportion to their
+    /// processors; those that are leaving only if no other is left.
+    pub fn draw_relay(&self, remaining: Duration, now: Duration) -> Option<SocketAddr> {
         let own = &self.members.own;
-        let mut candidates = self.reaching_members(now);
-        candidates.retain(|m| m.id != own.id && m.region == own.region);
+        let mut candidates = self.look_up_candidates(now);
+        candidates.retain(|c| {
+            let m = c.member;
+            let takes = m.state == MemberState::Ready || c.time_left.is_some();
+            let in_time = c.time_left.is_none_or(|left| left >= remaining);
+            takes && in_time && c.reaches_servers && m.id != own.id && m.region == own.region
+        });
+        if candidates.iter().any(|c| c.time_left.is_none()) {
+            candidates.retain(|c| c.time_left.is_none());
+        }
+        let candidates: Vec<&Member> = candidates.into_iter().map(|c| c.member).collect();
         let weight = |m: &Member| {
             let capacity = self.members.capacity(&m.id);
             u64::from(capacity.map_or(1, |c| c.millicores.max(1)))
         };
         let total: u64 = candidates.iter().map(|m| weight(m)).sum();
         let mut drawn = fastrand::u64(..total.max(1));
-        let relay = candidates.into_iter().find(|m| {
+        let relay = candidates.iter().find(|m| {
             let found = drawn < weight(m);
             drawn = drawn.saturating_sub(weight(m));
             found
--- a/components/gateway/src/endpoints.rs
+++ b/components/gateway/src/endpoints.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_net::TcpListener;
-use dispatch::{Member, MemberState};
+use dispatch::{HostRoute, MemberState};
 
 use crate::answer::Answer;
 use crate::dialect::LookUpQuery;
@@ -70,19 +70,20 @@
 /// Answers a readiness check: status 200 if this entry VM is ready for requests, 503 otherwise.
 pub fn readiness(node: &Node, head: &RequestHead) -> Answer {
     if path(head) != node.dialect.readiness_path {
-        return Answer::plain(404, "Not Found", Vec::new());
+        return not_found();
     }
-    if node.dispatcher.state() == MemberState::Ready {
+    let ready = node.dispatcher.state() == MemberState::Ready;
+    if ready {
         Answer::plain(200, "OK", Vec::new())
     } else {
-        Answer::plain(503, "Service Unavailable", Vec::new())
+        unavailable()
     }
 }
 
 /// Serves the metrics in the Prometheus text format.
 pub fn metrics(_: &Node, head: &RequestHead) -> Answer {
     if path(head) != "/metrics" {
-        return Answer::plain(404, "Not Found", Vec::new());
+        return not_found();
     }
     let mut answer = Answer::plain(200, "OK", runtime::recorder::render().into_bytes());
     answer.add("Content-Type", "text/plain; version=0.0.4");
@@ -92,59 +93,54 @@
 /// Answers a look-up with the addresses of entry VMs that the caller should use.
 pub fn look_up(node: &Node, head: &RequestHead) -> Answer {
     if path(head) != node.dialect.look_up_path {
-        return Answer::plain(404, "Not Found", Vec::new());
+        return not_found();
     }
     let query_string = head.target.split_once('?').map_or("", |(_, q)| q);
     let query = (node.dialect.parse_look_up)(query_string);
-    let addresses = select_addresses(node, &query);
-    if addresses.is_empty() {
+    let Some((addresses, lifetime)) = select_addresses(node, &query) else {
+        let state = node.dispatcher.state();
         log::info!(
-            "event=look_up_empty host={} domain={}",
+            "event=look_up_empty host={} domain={} state={state:?}",
             query.host,
             query.domain
         );
-        return Answer::plain(503, "Service Unavailable", Vec::new());
-    }
+        return unavailable();
+    };
     metrics::counter!("gateway_look_ups_total").increment(1);
-    let body = (node.dialect.encode_look_up)(&addresses, node.settings().look_up_lifetime);
+    let body = (node.dialect.encode_look_up)(&addresses, lifetime);
     let mut answer = Answer::plain(200, "OK", body);
     answer.add("Content-Type", node.dialect.look_up_content_type);
     answer
 }
 
-fn path(head: &RequestHead) -> &str {
-    head.target.split('?').next().unwrap_or("")
+fn not_found() -> Answer {
+    Answer::plain(404, "Not Found", Vec::new())
 }
 
-/// Selects the entry VMs in the caller's failure domain that reach the servers, else those in its
-/// region; if none does, the available ones there, else in all regions that every route of the host
-/// allows. The order is random.
-fn select_addresses(node: &Node, query: &LookUpQuery) -> Vec<SocketAddr> {
-    let reaching = node.dispatcher.reaching_members();
-    let available = node.dispatcher.available_members();
-    let select = |members: &[Member], matches: &dyn Fn(&Member) -> bool| {
-        let allowed =
-            |m: &Member| m.region == query.region || all_routes_allow(node, &query.host, &m.region);
-        let selected = members.iter().filter(|m| allowed(m) && matches(m));
-        let addresses: Vec<SocketAddr> = selected.map(|m| m.callers).collect();
-        (!addresses.is_empty()).then_some(addresses)
-    };
-    let in_domain = |m: &Member| m.domain == query.domain;
-    let in_region = |m: &Member| m.region == query.region;
-    let mut addresses = select(&reaching, &in_domain)
-        .or_else(|| select(&reaching, &in_region))
-        .or_else(|| select(&available, &in_domain))
-        .or_else(|| select(&available, &in_region))
-        .or_else(|| select(&available, &|_| true))
-        .unwrap_or_default();
-    fastrand::shuffle(&mut addresses);
-    addresses.truncate(MAX_ADDRESSES);
-    addresses
+fn unavailable() -> Answer {
+    Answer::plain(503, "Service Unavailable", Vec::new())
+}
+
+fn path(head: &RequestHead) -> &str {
+    head.target.split('?').next().unwrap_or("")
 }
 
-/// Whether every route of the host allows the region.
-fn all_routes_allow(node: &Node, host: &str, region: &str) -> bool {
-    let routes = node.routes();
-    let host = routes.as_ref().and_then(|r| r.hosts.get(host));
-    host.is_none_or(|routes| routes.iter().all(|r| r.allows_region(region)))
+/// Selects the best entry VMs for a caller, in random order, and the lifetime of the answer; `None` if
+/// no entry VM takes requests of the host.
+fn select_addresses(node: &Node, query: &LookUpQuery) -> Option<(Vec<SocketAddr>, Duration)> {
+    let table = node.routes();
+    let routes = table.as_ref().and_then(|t| t.hosts.get(&query.host));
+    let routes = routes.into_iter().flatten().map(|route| HostRoute {
+        allowed_regions: &route.allowed_regions,
+        time_limit: node.usual_deadline(route),
+    });
+    let routes: Vec<HostRoute> = routes.collect();
+    let longest = node.settings().look_up_lifetime;
+    node.dispatcher.select(query, &routes, |selection| {
+        let members = selection.members.iter();
+        let mut addresses: Vec<SocketAddr> = members.map(|m| m.callers).collect();
+        fastrand::shuffle(&mut addresses);
+        addresses.truncate(MAX_ADDRESSES);
+        (addresses, selection.lifetime(longest))
+    })
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -55,8 +55,8 @@
 /// Time between checks for open work during a graceful stop.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Starts an entry VM. It becomes ready once it has a configuration and a complete list of servers,
-/// and knows the other entry VMs.
+/// Starts an entry VM. It becomes ready once it has a configuration and a complete list of servers, and knows the other entry
+/// VMs.
 pub async fn start(settings: Settings, dialect: Dialect, clock: Clock) -> Result<Arc<Node>> {
     let own = Member {
         id: settings.id.clone(),
@@ -157,5 +157,6 @@
         }
         runtime::sleep(STOP_POLL_INTERVAL).await;
     }
+    node.announce_exit();
     log::info!("event=stopped open_requests={}", node.open_requests());
 }
--- a/components/gateway/src/message.rs
+++ b/components/gateway/src/message.rs
@@ -107,6 +107,15 @@
         /// Incarnation of the sender.
         incarnation: Incarnation,
     },
+    /// The sender is leaving; sent with its heartbeats. Versions without it ignore the message and
+    /// do not name the sender in answers to look-ups.
+    Leaving {
+        /// Incarnation of the sender.
+        incarnation: Incarnation,
+        /// Time for which it takes requests; their deadlines must pass before.
+        #[serde(rename = "left")]
+        remaining: Duration,
+    },
 }
 
 /// Name of a table of the platform and the transaction of a change.
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -8,7 +8,7 @@
 
 use async_channel::{Receiver, Sender};
 use config::{DomainId, Generation};
-use dispatch::{ClientLimits, Member, MemberState, PoolSettings, RouteTable, Server};
+use dispatch::{ClientLimits, Member, MemberState, PoolSettings, Route, RouteTable, Server};
 
 use crate::dialect::Dialect;
 use crate::dispatcher::Dispatcher;
@@ -18,6 +18,9 @@
 
 /// Part of the memory that bodies of requests and responses may take.
 const BODY_MEMORY_FRACTION: f64 = 0.4;
+/// Time before the end of the grace period by which the deadlines of requests must have passed; the
+/// process exits a little later.
+const SHUTDOWN_MARGIN: Duration = Duration::from_millis(600);
 /// Fraction of the configured cold rate that a pool admits to a cold server. The platform tolerates
 /// 1.5 times the configured rate plus a slack, so a short time with two pool owners stays within
 /// the limit.
@@ -47,7 +50,9 @@
     open_requests: AtomicUsize,
     /// Connections with requests that are not answered completely.
     busy_connections: AtomicUsize,
-    leaving_since: Mutex<Option<Duration>>,
+    /// Uptime by which the deadlines of requests must have passed; `None` if this entry VM is not
+    /// leaving.
+    leaving_until: Mutex<Option<Duration>>,
     /// Channel that is closed to make the callers' sessions close their idle connections.
     idle_close_signal: (Mutex<Option<Sender<()>>>, Receiver<()>),
 }
@@ -73,7 +78,7 @@
             body_memory: BodyMemory::new(body_memory),
             open_requests: AtomicUsize::new(0),
             busy_connections: AtomicUsize::new(0),
-            leaving_since: Mutex::new(None),
+            leaving_until: Mutex::new(None),
             idle_close_signal: (Mutex::new(Some(tx)), rx),
         })
     }
@@ -264,13 +269,20 @@
 
     /// Starts a graceful stop: announces to the other entry VMs that this one is leaving.
     pub fn leave(&self) {
-        lock(&self.leaving_since).get_or_insert(self.now());
-        self.dispatcher.set_state(MemberState::Leaving);
+        let end = self.now() + self.settings().grace_period;
+        let until = *lock(&self.leaving_until).get_or_insert(end.saturating_sub(SHUTDOWN_MARGIN));
+        self.dispatcher.leave(until);
     }
 
-    /// Returns when the graceful stop started, or `None` if it has not.
-    pub fn leaving_since(&self) -> Option<Duration> {
-        *lock(&self.leaving_since)
+    /// Announces that this entry VM takes no more requests, just before the process exits.
+    pub fn announce_exit(&self) {
+        self.dispatcher.leave(self.now());
+    }
+
+    /// Returns the uptime by which the deadlines of requests must have passed, because the process
+    /// ends soon after; `None` if no graceful stop has started.
+    pub fn leaving_until(&self) -> Option<Duration> {
+        *lock(&self.leaving_until)
     }
 
     /// Closes the idle connections of callers.
@@ -292,6 +304,13 @@
         longest.saturating_sub(deadline)
     }
 
+    /// Returns the longest deadline of requests on a route: its timeout, or what callers set if that
+    /// is shorter.
+    pub fn usual_deadline(&self, route: &Route) -> Duration {
+        let seen = lock(&self.longest_deadlines).get(&route.name).copied();
+        seen.map_or(route.timeout, |d| d.min(route.timeout))
+    }
+
     /// Whether the process must not end yet in a graceful stop: a request is being relayed, also
     /// without its caller, or the last byte of an answer is not written and received.
     pub fn has_open_work(&self) -> bool {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -32,9 +32,6 @@
 /// `Retry-After` of refusals for which the dispatcher gives no time, such as those of an entry VM
 /// without configuration.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Time before the end of the grace period by which the deadlines of requests must have passed; the
-/// process exits a little later.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(600);
 /// Maximum idle time of a connection that is reused for a binding request. If the server closes the
 /// connection at that moment, the outcome of the request is unknown.
 const BINDING_MAX_IDLE: Duration = Duration::from_secs(1);
@@ -275,11 +272,8 @@
 /// Returns whether the entry VM is stopping and the process may end before the request's deadline.
 /// The time that a server usually takes is no bound: the request is not run and sent elsewhere.
 fn may_outlast_process(node: &Node, plan: &Plan) -> bool {
-    let grace_period = node.settings().grace_period;
-    node.leaving_since().is_some_and(|since| {
-        let end = (since + grace_period).saturating_sub(SHUTDOWN_MARGIN);
-        plan.deadline_at > end
-    })
+    node.leaving_until()
+        .is_some_and(|until| plan.deadline_at > until)
 }
 
 async fn admit(
@@ -298,7 +292,7 @@
             retry_after: DEFAULT_RETRY_AFTER,
         };
     }
-    if let Some(relay) = draw_relay(node, req, history) {
+    if let Some(relay) = draw_relay(node, req, plan, history) {
         return Admission::Forward(node.settings().region.clone(), relay);
     }
     let request = SlotRequest {
@@ -312,13 +306,20 @@
 
 /// Returns the entry VM of this region that a request is passed on to, because this one does not
 /// reach the servers. Requests are passed on at most once, and only before they were written.
-fn draw_relay(node: &Node, req: &Request, history: &AttemptHistory) -> Option<SocketAddr> {
+fn draw_relay(
+    node: &Node,
+    req: &Request,
+    plan: &Plan,
+    history: &AttemptHistory,
+) -> Option<SocketAddr> {
     if req.origin == Origin::EntryVm || history.forwarded || history.sent_attempts > 0 {
         return None;
     }
     let must_pass_on =
         history.connect_failures >= MAX_CONNECT_FAILURES_HERE || node.dispatcher.is_cut_off();
-    let relay = must_pass_on.then(|| node.dispatcher.draw_relay()).flatten();
+    let remaining = plan.remaining(node);
+    let relay = must_pass_on.then(|| node.dispatcher.draw_relay(remaining));
+    let relay = relay.flatten();
     if relay.is_some() {
         metrics::counter!("gateway_passed_on_total").increment(1);
     }
--- a/components/gateway/tests/relay/cut_off.rs
+++ b/components/gateway/tests/relay/cut_off.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::io::Write;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -20,7 +20,7 @@
 
 /// How the link to the servers fails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Cut {
+pub enum Cut {
     /// Open and new connections hang.
     Hang,
     /// Open connections are reset, new ones refused.
@@ -30,7 +30,7 @@
 }
 
 /// Starts servers at ports of their own, at which they can listen again.
-fn start_servers() -> [TestServer; 3] {
+pub fn start_servers() -> [TestServer; 3] {
     [(); 3].map(|()| {
         let address = standins::address::free().unwrap();
         let listener = TcpListener::bind(address).unwrap();
@@ -38,7 +38,7 @@
     })
 }
 
-fn begin(cut: Cut, servers: &[&TestServer]) {
+pub fn begin(cut: Cut, servers: &[&TestServer]) {
     for server in servers {
         match cut {
             Cut::Hang => server.cut(),
@@ -51,7 +51,7 @@
     }
 }
 
-fn end(cut: Cut, servers: &[&TestServer]) {
+pub fn end(cut: Cut, servers: &[&TestServer]) {
     for server in servers {
         match cut {
             Cut::Hang => server.heal(),
@@ -62,7 +62,7 @@
 
 /// Sends requests, alternately a read and an order, for a while; returns their numbers and how many
 /// were answered with success.
-fn send_for(duration: Duration, entry_vm: &TestEntryVm, prefix: &str) -> (usize, usize) {
+pub fn send_for(duration: Duration, entry_vm: &TestEntryVm, prefix: &str) -> (usize, usize) {
     let begin = Instant::now();
     let mut senders = Vec::new();
     for i in 0.. {
@@ -145,14 +145,6 @@
     requests_are_passed_on(Cut::RefuseNew);
 }
 
-/// Returns the answer to a look-up.
-fn look_up(entry_vm: &TestEntryVm) -> String {
-    let mut stream = TcpStream::connect(entry_vm.look_ups).unwrap();
-    let request = b"GET /look-up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-    stream.write_all(request).unwrap();
-    read_response(&mut stream).unwrap().2
-}
-
 /// Guards against requests that are passed on to an entry VM that is cut off as well, and against
 /// look-ups that name entry VMs that are cut off while others are left.
 #[test]
@@ -166,16 +158,16 @@
     let announcement = RemoteEntryVm::start_in("south", "donau", &entry_vm, &relay);
     send_for(Duration::from_millis(300), &entry_vm, "before");
     let own = entry_vm.callers.to_string();
-    assert_eq!(look_up(&entry_vm), format!("[{own}]"));
+    assert_eq!(entry_vm.look_up().1, format!("[{own}]"));
     begin(Cut::Reset, &servers);
     send_for(Duration::from_secs(1), &entry_vm, "first");
-    assert_eq!(look_up(&entry_vm), format!("[{}]", relay.address));
+    assert_eq!(entry_vm.look_up().1, format!("[{}]", relay.address));
     let (sent, served) = send_for(Duration::from_millis(500), &entry_vm, "cut");
     assert_eq!((served, cut.count()), (sent, 0));
     drop(announcement);
     // Without any entry VM that reaches servers, look-ups name the available ones.
     thread::sleep(Duration::from_secs(1));
-    assert!(look_up(&entry_vm).contains(&own));
+    assert!(entry_vm.look_up().1.contains(&own));
 }
 
 /// Guards against a refusal of the other entry VM that is lost, or that leads to attempts at servers
--- a/components/gateway/tests/relay/forward.rs
+++ b/components/gateway/tests/relay/forward.rs
@@ -24,6 +24,19 @@
     CutOff {
         incarnation: u64,
     },
+    Leaving {
+        incarnation: u64,
+        left: Duration,
+    },
+}
+
+/// What an entry VM announces besides its member list entry.
+#[derive(Clone, Copy, PartialEq)]
+enum Announced {
+    Nothing,
+    CutOff,
+    /// It is leaving and takes requests for this time.
+    Leaving(Duration),
 }
 
 /// Another entry VM: it announces itself to the one under test, and a scripted server takes its
@@ -46,7 +59,7 @@
         entry_vm: &TestEntryVm,
         forward_target: &TestServer,
     ) -> Self {
-        Self::announce(domain, region, entry_vm, forward_target, false)
+        Self::announce(domain, region, entry_vm, forward_target, Announced::Nothing)
     }
 
     /// Announces an entry VM that says that it is cut off from the servers.
@@ -56,7 +69,18 @@
         entry_vm: &TestEntryVm,
         forward_target: &TestServer,
     ) -> Self {
-        Self::announce(domain, region, entry_vm, forward_target, true)
+        Self::announce(domain, region, entry_vm, forward_target, Announced::CutOff)
+    }
+
+    /// Announces an entry VM that is leaving, as if it always took requests for `left`.
+    pub fn start_leaving(
+        domain: &str,
+        left: Duration,
+        entry_vm: &TestEntryVm,
+        forward_target: &TestServer,
+    ) -> Self {
+        let announced = Announced::Leaving(left);
+        Self::announce(domain, "donau", entry_vm, forward_target, announced)
     }
 
     fn announce(
@@ -64,7 +88,7 @@
         region: &str,
         entry_vm: &TestEntryVm,
         forward_target: &TestServer,
-        cut_off: bool,
+        announced: Announced,
     ) -> Self {
         let incarnation = u64::from(forward_target.address.port());
         let stop = Arc::new(AtomicBool::new(false));
@@ -76,7 +100,10 @@
             region: region.into(),
             callers: forward_target.address,
             peers: forward_target.address,
-            state: MemberState::Ready,
+            state: match announced {
+                Announced::Leaving(_) => MemberState::Leaving,
+                Announced::Nothing | Announced::CutOff => MemberState::Ready,
+            },
             platform_connected: region != "donau",
         };
         let pools = Datagram::Pools {
@@ -96,8 +123,10 @@
         if region == "alpen" {
             datagrams.push(pools);
         }
-        if cut_off {
-            datagrams.push(Datagram::CutOff { incarnation });
+        match announced {
+            Announced::Nothing => {}
+            Announced::CutOff => datagrams.push(Datagram::CutOff { incarnation }),
+            Announced::Leaving(left) => datagrams.push(Datagram::Leaving { incarnation, left }),
         }
         let datagrams = datagrams.iter().map(|d| rmp_serde::to_vec(d).unwrap());
         let datagrams: Vec<Vec<u8>> = datagrams.collect();
--- a/components/gateway/tests/relay/harness.rs
+++ b/components/gateway/tests/relay/harness.rs
@@ -28,9 +28,9 @@
     readiness_path: "/ready",
     look_up_path: "/look-up",
     parse_look_up: |_| LookUpQuery {
+        host: "shop.example".into(),
         domain: "north".into(),
         region: "donau".into(),
-        ..LookUpQuery::default()
     },
     encode_look_up: |addresses, _| format!("{addresses:?}").into_bytes(),
     look_up_content_type: "text/plain",
@@ -276,6 +276,14 @@
     /// Starts an entry VM in front of `servers`. Requests to `/read/` are idempotent, those to
     /// `/order/` and, with a longer timeout, to `/long/` are binding.
     pub fn start(servers: &[&TestServer]) -> Self {
+        let entry_vm = Self::launch("entry", "north", servers);
+        entry_vm.become_ready();
+        entry_vm
+    }
+
+    /// Starts an entry VM in the region donau that is not ready: it has no configuration and does not
+    /// know the other members.
+    pub fn launch(id: &str, domain: &str, servers: &[&TestServer]) -> Self {
         start_executor(EXECUTOR_THREADS);
         let settings = Settings {
             domains: [
@@ -283,7 +291,8 @@
                 ("west".into(), "alpen".into()),
             ]
             .into(),
-            domain: "north".into(),
+            id: id.into(),
+            domain: domain.into(),
             region: "donau".into(),
             callers: free_address(),
             readiness: free_address(),
@@ -302,9 +311,7 @@
             node.put_server(server_entry(i, server.address));
         }
         node.mark_servers_listed();
-        node.mark_members_known();
         node.set_platform_connected(true);
-        assert!(node.set_routes(routes()));
         TestEntryVm {
             node,
             callers,
@@ -313,6 +320,29 @@
         }
     }
 
+    /// Gives a launched entry VM what it needs to be ready.
+    pub fn become_ready(&self) {
+        self.node.mark_members_known();
+        assert!(self.node.set_routes(routes()));
+    }
+
+    /// Starts a graceful stop; it ends on the returned thread.
+    pub fn start_stop(&self) -> thread::JoinHandle<()> {
+        let (tx, rx) = async_channel::bounded::<()>(1);
+        let node = self.node.clone();
+        drop(tx);
+        thread::spawn(move || runtime::block_on(1, gateway::run_until(&node, rx)))
+    }
+
+    /// Returns status and body of the answer to a look-up.
+    pub fn look_up(&self) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.look_ups).expect("connect for a look-up");
+        let request = b"GET /look-up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        stream.write_all(request).expect("write look-up");
+        let (status, _, body) = read_response(&mut stream).expect("answer to a look-up");
+        (status, body)
+    }
+
     /// Opens a connection as a caller.
     pub fn connect(&self) -> TcpStream {
         let stream = TcpStream::connect(self.callers).expect("connect to entry VM");
--- a/components/gateway/tests/relay/stop.rs
+++ b/components/gateway/tests/relay/stop.rs
@@ -63,10 +63,7 @@
     for i in 0..20 {
         assert_eq!(entry_vm.send("GET", "/read/1", &format!("warm{i}")).0, 200);
     }
-    let (tx, rx) = async_channel::bounded(1);
-    let node = entry_vm.node.clone();
-    let stop = thread::spawn(move || runtime::block_on(1, gateway::run_until(&node, rx)));
-    drop(tx);
+    let stop = entry_vm.start_stop();
     thread::sleep(delay);
     let mut stream = entry_vm.connect();
     stream.write_all(&request(method, path, "late")).unwrap();
@@ -104,14 +101,6 @@
     }
 }
 
-/// Starts a graceful stop; it ends on the returned thread.
-fn start_stop(entry_vm: &TestEntryVm) -> thread::JoinHandle<()> {
-    let (tx, rx) = async_channel::bounded::<()>(1);
-    let node = entry_vm.node.clone();
-    drop(tx);
-    thread::spawn(move || runtime::block_on(1, gateway::run_until(&node, rx)))
-}
-
 /// Sends three requests on one connection, the one at `binding` (if any) an order, and stops the
 /// entry VM `delay` later. Returns the responses and the ids that the server has received.
 fn pipeline_during_stop(binding: Option<usize>, delay: Duration) -> (Vec<String>, Vec<String>) {
@@ -133,7 +122,7 @@
         stream.write_all(&req).unwrap();
     }
     thread::sleep(delay);
-    let stop = start_stop(&entry_vm);
+    let stop = entry_vm.start_stop();
     let mut answered = Vec::new();
     let mut last_head = String::new();
     while let Some((status, head, _)) = read_response(&mut stream) {
@@ -219,7 +208,7 @@
         (bytes, Instant::now())
     });
     thread::sleep(Duration::from_millis(200));
-    start_stop(&entry_vm).join().unwrap();
+    entry_vm.start_stop().join().unwrap();
     let process_end = Instant::now();
     let (bytes, received_at) = reader.join().unwrap();
     assert!(bytes.ends_with(LAST_CHUNK));
