Let look-ups wait at an entry VM that is starting

Cause: an entry VM answers look-ups from its start on, but has not heard of the others yet, or all start at the same time.

Change: while it is starting and knows of no entry VM that could be named, a look-up waits for one, until 0.8 s after the start. Callers wait for a second before they ask another entry VM. If the others are known to be unable to take requests, the answer would be as empty elsewhere.

--- a/components/gateway/src/endpoints.rs
+++ b/components/gateway/src/endpoints.rs
@@ -19,8 +19,27 @@
 /// Most addresses in the answer to a look-up; callers use no more.
 const MAX_ADDRESSES: usize = 64;
 
+/// Uptime until which look-ups wait if this entry VM is starting and knows of none that could be named.
+/// Entry VMs that start together are ready by then; callers wait for an answer for a second.
+const MAX_START_WAIT: Duration = Duration::from_millis(800);
+/// Time between attempts to answer such a look-up.
+const START_WAIT_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Answers a request to one of the endpoints.
-pub type Handler = fn(&Node, &RequestHead) -> Answer;
+pub type Handler = fn(&Node, &RequestHead) -> Reply;
+
+/// Result of a handler.
+pub enum Reply {
+    Answer(Box<Answer>),
+    /// The request waits, and the handler is called again.
+    Wait,
+}
+
+impl From<Answer> for Reply {
+    fn from(answer: Answer) -> Self {
+        Reply::Answer(Box::new(answer))
+    }
+}
 
 /// Answers requests on `listener` with `handler` until the process ends.
 pub async fn serve(node: Arc<Node>, listener: TcpListener, handler: Handler) {
@@ -58,9 +77,13 @@
             }
         };
         let keep_alive = head.keeps_alive();
-        connection
-            .write(&handler(node, &head).encode(!keep_alive))
-            .await?;
+        let answer = loop {
+            if let Reply::Answer(answer) = handler(node, &head) {
+                break answer;
+            }
+            runtime::sleep(START_WAIT_INTERVAL).await;
+        };
+        connection.write(&answer.encode(!keep_alive)).await?;
         if !keep_alive {
             return Ok(());
         }
@@ -68,49 +91,54 @@
 }
 
 /// Answers a readiness check: status 200 if this entry VM is ready for requests, 503 otherwise.
-pub fn readiness(node: &Node, head: &RequestHead) -> Answer {
+pub fn readiness(node: &Node, head: &RequestHead) -> Reply {
     if path(head) != node.dialect.readiness_path {
-        return not_found();
+        return not_found().into();
     }
     let ready = node.dispatcher.state() == MemberState::Ready;
-    if ready {
+    let answer = if ready {
         Answer::plain(200, "OK", Vec::new())
     } else {
         unavailable()
-    }
+    };
+    answer.into()
 }
 
 /// Serves the metrics in the Prometheus text format.
-pub fn metrics(_: &Node, head: &RequestHead) -> Answer {
+pub fn metrics(_: &Node, head: &RequestHead) -> Reply {
     if path(head) != "/metrics" {
-        return not_found();
+        return not_found().into();
     }
     let mut answer = Answer::plain(200, "OK", runtime::recorder::render().into_bytes());
     answer.add("Content-Type", "text/plain; version=0.0.4");
-    answer
+    answer.into()
 }
 
-/// Answers a look-up with the addresses of entry VMs that the caller should use.
-pub fn look_up(node: &Node, head: &RequestHead) -> Answer {
+/// Answers a look-up with the addresses of entry VMs that the caller should use. Waits for a while if
+/// this entry VM is starting and may not have heard of the others yet.
+pub fn look_up(node: &Node, head: &RequestHead) -> Reply {
     if path(head) != node.dialect.look_up_path {
-        return not_found();
+        return not_found().into();
     }
     let query_string = head.target.split_once('?').map_or("", |(_, q)| q);
     let query = (node.dialect.parse_look_up)(query_string);
     let Some((addresses, lifetime)) = select_addresses(node, &query) else {
         let state = node.dispatcher.state();
+        if state == MemberState::Starting && node.now() < MAX_START_WAIT {
+            return Reply::Wait;
+        }
         log::info!(
             "event=look_up_empty host={} domain={} state={state:?}",
             query.host,
             query.domain
         );
-        return unavailable();
+        return unavailable().into();
     };
     metrics::counter!("gateway_look_ups_total").increment(1);
     let body = (node.dialect.encode_look_up)(&addresses, lifetime);
     let mut answer = Answer::plain(200, "OK", body);
     answer.add("Content-Type", node.dialect.look_up_content_type);
-    answer
+    answer.into()
 }
 
 fn not_found() -> Answer {
--- a/components/gateway/tests/relay/look_ups.rs
+++ b/components/gateway/tests/relay/look_ups.rs
@@ -2,7 +2,7 @@
 
 use std::io::Write;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::cut_off::{Cut, begin, send_for, start_servers};
 use crate::forward::RemoteEntryVm;
@@ -13,6 +13,8 @@
 const TAKES_REQUESTS: Duration = Duration::from_millis(2400);
 /// Deadline of the orders; shorter than the timeouts of the routes.
 const DEADLINE_MS: u32 = 1500;
+/// Time after which a starting entry VM does not let look-ups wait.
+const START_WAIT: Duration = Duration::from_millis(800);
 /// Allowance for scheduling.
 const SLACK: Duration = Duration::from_millis(200);
 
@@ -57,7 +59,7 @@
     let leaving = TestEntryVm::start(&[&server]);
     let other = TestEntryVm::launch("other", "south", &[&server]);
     other.node.add_member(leaving.node.own());
-    thread::sleep(SLACK);
+    thread::sleep(START_WAIT + SLACK);
     let named = format!("[{}]", leaving.callers);
     assert_eq!(other.look_up(), (200, named.clone()), "ready");
     let stop = leaving.start_stop();
@@ -114,6 +116,51 @@
     assert_eq!(send(&entry_vm, "/order/1", "order", 1000).0, 200);
 }
 
+/// Guards against empty answers while all entry VMs of a region start at once: each look-up waits for
+/// the first one that is ready, or fails in time for the caller to ask elsewhere.
+#[test]
+fn look_ups_wait_while_all_entry_vms_start() {
+    let server = TestServer::start(|_, id| ok_response(id, "served"));
+    let vms = ["a", "b", "c"].map(|id| TestEntryVm::launch(id, "north", &[&server]));
+    for vm in &vms {
+        let others = vms.iter().filter(|o| o.callers != vm.callers);
+        others.for_each(|other| vm.node.add_member(other.node.own()));
+    }
+    let asked = Instant::now();
+    let answers: Vec<(u16, String)> = thread::scope(|scope| {
+        let look_ups: Vec<_> = vms.iter().map(|vm| scope.spawn(|| vm.look_up())).collect();
+        thread::sleep(SLACK);
+        vms[0].become_ready();
+        look_ups.into_iter().map(|l| l.join().unwrap()).collect()
+    });
+    assert!(asked.elapsed() < START_WAIT, "{:?}", asked.elapsed());
+    let named = format!("[{}]", vms[0].callers);
+    assert!(
+        answers.iter().all(|a| *a == (200, named.clone())),
+        "{answers:?}"
+    );
+}
+
+/// Guards against look-ups that wait at a starting entry VM until callers give up, and so ask no other.
+#[test]
+fn look_ups_at_a_starting_entry_vm_fail_in_time() {
+    let entry_vm = TestEntryVm::launch("entry", "north", &[]);
+    let asked = Instant::now();
+    assert_eq!(entry_vm.look_up().0, 503);
+    assert!(
+        asked.elapsed() < START_WAIT + SLACK / 2,
+        "{:?}",
+        asked.elapsed()
+    );
+    let asked = Instant::now();
+    assert_eq!(entry_vm.look_up().0, 503);
+    assert!(
+        asked.elapsed() < SLACK,
+        "waits after the start: {:?}",
+        asked.elapsed()
+    );
+}
+
 /// Guards against callers who are sent to an evacuated failure domain.
 #[test]
 fn entry_vms_of_an_evacuated_domain_are_not_named() {
