--- a/components/dispatch/src/look_up.rs
+++ b/components/dispatch/src/look_up.rs
@@ -65,6 +65,17 @@
     OtherRegionLeaving,
 }
 
+impl Quality {
+    pub fn label(self) -> &'static str {
+        match self {
+            Quality::Ready => "ready",
+            Quality::CutOff => "cut_off",
+            Quality::Leaving => "leaving",
+            Quality::OtherRegion | Quality::OtherRegionLeaving => "other_region",
+        }
+    }
+}
+
 /// How far an entry VM is from the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
--- a/components/gateway/src/dispatcher/leave.rs
+++ b/components/gateway/src/dispatcher/leave.rs
@@ -46,9 +46,14 @@
         remaining: Duration,
         now: Duration,
     ) {
-        if self.members.by_incarnation(incarnation).is_some() {
-            let until = now.saturating_add(remaining);
-            self.leaving_members.insert(incarnation, until);
+        let Some(member) = self.members.by_incarnation(incarnation) else {
+            return;
+        };
+        let id = member.id.clone();
+        let until = now.saturating_add(remaining);
+        if self.leaving_members.insert(incarnation, until).is_none() {
+            let remaining_ms = remaining.as_millis();
+            log::info!("event=member_leaving member={id} takes_requests_ms={remaining_ms}");
         }
     }
 
--- a/components/gateway/src/endpoints.rs
+++ b/components/gateway/src/endpoints.rs
@@ -127,6 +127,7 @@
         if state == MemberState::Starting && node.now() < MAX_START_WAIT {
             return Reply::Wait;
         }
+        metrics::counter!("gateway_look_ups_empty_total").increment(1);
         log::info!(
             "event=look_up_empty host={} domain={} state={state:?}",
             query.host,
@@ -134,7 +135,6 @@
         );
         return unavailable().into();
     };
-    metrics::counter!("gateway_look_ups_total").increment(1);
     let body = (node.dialect.encode_look_up)(&addresses, lifetime);
     let mut answer = Answer::plain(200, "OK", body);
     answer.add("Content-Type", node.dialect.look_up_content_type);
@@ -169,6 +169,8 @@
         let mut addresses: Vec<SocketAddr> = members.map(|m| m.callers).collect();
         fastrand::shuffle(&mut addresses);
         addresses.truncate(MAX_ADDRESSES);
+        let quality = selection.quality.label();
+        metrics::counter!("gateway_look_ups_total", "named" => quality).increment(1);
         (addresses, selection.lifetime(longest))
     })
 }
