--- a/components/dispatch/tests/pool/main.rs
+++ b/components/dispatch/tests/pool/main.rs
@@ -3,5 +3,6 @@
 mod common;
 mod decisions;
 mod placement;
+mod refusals;
 mod shift;
 mod simulation;
--- a/components/limits/src/slots.rs
+++ b/components/limits/src/slots.rs
@@ -30,11 +30,13 @@
 //! requests, because servers honour deadlines.
 
 mod error;
+mod grant;
 mod ledger;
 mod split;
 mod terms;
 
 pub use error::{Error, Result};
-pub use ledger::{Grant, Ledger, Permit, Renewal, Usage, WireGrant};
+pub use grant::{Grant, WireGrant};
+pub use ledger::{Ledger, Permit, Renewal, Usage};
 pub use split::{Quotas, split};
 pub use terms::{LoanRequest, Settings, Term};
--- a/components/limits/src/slots/ledger.rs
+++ b/components/limits/src/slots/ledger.rs
@@ -5,49 +5,12 @@
 
 use config::{Class, Generation, ServerId};
 use error_stack::{Report, ResultExt as _};
-use serde::{Deserialize, Serialize};
 
 use super::error::{Error, Result};
+use super::grant::Grant;
 use super::split::Quotas;
 use super::terms::{LoanRequest, Settings, Term};
 
-/// Reply of a lender to a [`LoanRequest`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Grant {
-    /// Number of the loan, unique at the lender; unique among lenders by
-    /// [`Settings::number_offset`].
-    pub loan: u64,
-    /// Slots lent.
-    pub slots: u32,
-}
-
-/// Wire form of a [`Grant`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireGrant {
-    /// Number of the loan.
-    pub loan: u64,
-    /// Slots lent.
-    pub slots: u32,
-}
-
-impl From<Grant> for WireGrant {
-    fn from(grant: Grant) -> Self {
-        WireGrant {
-            loan: grant.loan,
-            slots: grant.slots,
-        }
-    }
-}
-
-impl From<WireGrant> for Grant {
-    fn from(wire: WireGrant) -> Self {
-        Grant {
-            loan: wire.loan,
-            slots: wire.slots,
-        }
-    }
-}
-
 /// A borrowed loan that the lender should be asked to extend.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Renewal {
