Name leaving entry VMs that reach the servers before others that leave

Cause: the selection did not tell leaving entry VMs that reach the servers from those that are cut off from them; one of the caller's domain was named although it has to pass requests on, or refuses them if no other is left.

Result: the new test fails without the change.

--- a/components/dispatch/src/look_up.rs
+++ b/components/dispatch/src/look_up.rs
@@ -58,6 +58,8 @@
     CutOff,
     /// It is leaving.
     Leaving,
+    /// It is leaving, and passes requests on since it does not reach the servers.
+    LeavingCutOff,
     /// In a region that some route does not allow: it passes requests on to one that is allowed.
     /// Entry VMs that are leaving come first, since bodies should stay in the allowed regions.
     OtherRegion,
@@ -218,7 +220,8 @@
         let quality = match (allowed, candidate.time_left.is_some()) {
             (true, false) if candidate.reaches_servers => Quality::Ready,
             (true, false) => Quality::CutOff,
-            (true, true) => Quality::Leaving,
+            (true, true) if candidate.reaches_servers => Quality::Leaving,
+            (true, true) => Quality::LeavingCutOff,
             (false, false) => Quality::OtherRegion,
             (false, true) => Quality::OtherRegionLeaving,
         };
--- a/components/dispatch/tests/look_up.rs
+++ b/components/dispatch/tests/look_up.rs
@@ -162,6 +162,28 @@
     assert_eq!(soon.map(|l| l.2), Some(Duration::from_millis(100)));
 }
 
+/// Guards against callers who are sent to an entry VM that leaves and is cut off from the servers,
+/// while another one that leaves reaches them.
+#[test]
+fn leaving_entry_vms_that_reach_servers_come_first() {
+    let members = [member(0, 0, LEAVING), member(1, 1, LEAVING)];
+    let cut_off = Candidate {
+        reaches_servers: false,
+        ..candidate(&members[0], LEAVING)
+    };
+    let candidates = [cut_off, candidate(&members[1], LEAVING)];
+    let query = LookUp {
+        region: "donau",
+        domain: "d1",
+        routes: &[],
+        evacuated: &[],
+    };
+    let selection = select(&query, &candidates).expect("an answer");
+    assert_eq!(selection.members, [&members[1]]);
+    let selection = select(&query, &candidates[..1]).expect("an answer");
+    assert_eq!(selection.members, [&members[0]]);
+}
+
 /// Whether an entry VM may take requests of a route: the statement of what a look-up promises, written
 /// apart from the selection.
 fn may_take(vm: Vm, all: &[Vm], route: &[&str]) -> bool {
