Do not name an entry VM that is stopped before it was ready

Cause: an entry VM that gets its signal to stop while it is starting announced the whole grace period as time for which it takes requests, and was named by look-ups while no other was ready. It has no configuration, or does not know the members, and refuses all requests.

Change: such an entry VM takes no requests from the start of the stop.

--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -267,10 +267,17 @@
         }
     }
 
-    /// Starts a graceful stop: announces to the other entry VMs that this one is leaving.
+    /// Starts a graceful stop: announces to the other entry VMs that this one is leaving. If it was
+    /// not ready yet, it takes no more requests.
     pub fn leave(&self) {
-        let end = self.now() + self.settings().grace_period;
-        let until = *lock(&self.leaving_until).get_or_insert(end.saturating_sub(SHUTDOWN_MARGIN));
+        let now = self.now();
+        let end = (now + self.settings().grace_period).saturating_sub(SHUTDOWN_MARGIN);
+        let until = if self.dispatcher.state() == MemberState::Starting {
+            now
+        } else {
+            end
+        };
+        let until = *lock(&self.leaving_until).get_or_insert(until);
         self.dispatcher.leave(until);
     }
 
--- a/components/gateway/tests/relay/look_ups.rs
+++ b/components/gateway/tests/relay/look_ups.rs
@@ -174,3 +174,18 @@
     entry_vm.node.evacuate(Vec::new());
     assert_eq!(entry_vm.look_up(), (200, format!("[{}]", entry_vm.callers)));
 }
+
+/// Guards against answers that name an entry VM which is stopped before it was ready: without a
+/// configuration or the members it takes no requests, however much of its grace period is left.
+#[test]
+fn entry_vm_that_leaves_before_it_is_ready_is_not_named() {
+    let starting = TestEntryVm::launch("starting", "north", &[]);
+    let other = TestEntryVm::launch("other", "south", &[]);
+    other.node.add_member(starting.node.own());
+    thread::sleep(START_WAIT + SLACK);
+    let stop = starting.start_stop();
+    thread::sleep(Duration::from_millis(50));
+    assert_eq!(starting.look_up().0, 503, "answer of the leaving one");
+    assert_eq!(other.look_up().0, 503, "answer of another");
+    stop.join().unwrap();
+}
