Refuse requests until the members are known

Cause: since the tables are loaded while the entry VM registers, it has routes and servers before it knows the members. Only its state waited for them: callers that reach a restarted entry VM at its old address got slots from its own pool, which the owner of the pool grants as well.

Change: requests are refused as without a configuration until then, as they were when the tables were loaded later.

Result: the new test fails without the change (status 200).

--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -208,6 +208,11 @@
         }
     }
 
+    /// Whether the other entry VMs have had time to answer.
+    pub fn knows_members(&self) -> bool {
+        self.members_known.load(Ordering::Relaxed)
+    }
+
     /// Sets the evacuated failure domains; their servers get no requests.
     pub fn evacuate(&self, domains: Vec<DomainId>) {
         log::info!("event=evacuated domains={}", domains.join(","));
@@ -260,7 +265,7 @@
     fn update_state(&self) {
         let complete = self.routes().is_some()
             && self.servers_listed.load(Ordering::Relaxed)
-            && self.members_known.load(Ordering::Relaxed);
+            && self.knows_members();
         if complete && self.dispatcher.state() == MemberState::Starting {
             log::info!("event=ready uptime_ms={}", self.now().as_millis());
             self.dispatcher.set_state(MemberState::Ready);
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -158,7 +158,8 @@
     let refuse = |code, after| Err(Box::new(Answer::own(code, after)));
     let names = &node.dialect.headers;
     let head = &req.head;
-    let Some(routes) = routes else {
+    // Without the members, the own pool would grant slots that the owner of the pool grants as well.
+    let Some(routes) = routes.filter(|_| node.knows_members()) else {
         return refuse(Code::NoConfiguration, Some(DEFAULT_RETRY_AFTER));
     };
     if req.origin == Origin::EntryVm && is_behind_sender(routes.generation, head) {
--- a/components/gateway/tests/relay/look_ups.rs
+++ b/components/gateway/tests/relay/look_ups.rs
@@ -6,7 +6,9 @@
 
 use crate::cut_off::{Cut, begin, send_for, start_servers};
 use crate::forward::RemoteEntryVm;
-use crate::harness::{TestEntryVm, TestServer, ok_response, read_response, request_with_deadline};
+use crate::harness::{
+    TestEntryVm, TestServer, ok_response, read_response, request_with_deadline, routes,
+};
 
 /// Time for which a stopping entry VM of these tests takes requests: the grace period less the time
 /// that the process needs to end.
@@ -189,3 +191,20 @@
     assert_eq!(other.look_up().0, 503, "answer of another");
     stop.join().unwrap();
 }
+
+/// Guards against an entry VM that grants slots on its own while it loads its tables: callers with an
+/// older answer reach a restarted one at once, and the owner of the pool grants the same slots.
+#[test]
+fn entry_vm_takes_no_requests_before_it_knows_the_members() {
+    let server = TestServer::start(|_, id| ok_response(id, "served"));
+    let entry_vm = TestEntryVm::launch("entry", "north", &[&server]);
+    assert!(entry_vm.node.set_routes(routes()));
+    let (status, head) = send(&entry_vm, "/order/1", "early", 1000);
+    assert!(
+        status == 503 && head.contains("x-outcome: not-run"),
+        "{head}"
+    );
+    assert_eq!(server.count(), 0);
+    entry_vm.node.mark_members_known();
+    assert_eq!(send(&entry_vm, "/order/1", "ready", 1000).0, 200);
+}
