Keep an entry VM that has left out of look-ups after late datagrams

Cause: each announcement of a leaving entry VM replaced the one before. A copy that arrived after the last one, which says that it takes no more requests, made it named again until its heartbeats timed out.

--- a/components/dispatch/src/look_up.rs
+++ b/components/dispatch/src/look_up.rs
@@ -72,7 +72,7 @@
         match self {
             Quality::Ready => "ready",
             Quality::CutOff => "cut_off",
-            Quality::Leaving => "leaving",
+            Quality::Leaving | Quality::LeavingCutOff => "leaving",
             Quality::OtherRegion | Quality::OtherRegionLeaving => "other_region",
         }
     }
--- a/components/gateway/src/dispatcher/leave.rs
+++ b/components/gateway/src/dispatcher/leave.rs
@@ -39,7 +39,8 @@
         }
     }
 
-    /// Records for how long another entry VM takes requests before it leaves.
+    /// Records for how long another entry VM takes requests before it leaves. Messages that arrive late
+    /// give it too much time, so the earliest end counts.
     pub fn receive_leaving(
         &mut self,
         incarnation: Incarnation,
@@ -51,9 +52,13 @@
         };
         let id = member.id.clone();
         let until = now.saturating_add(remaining);
-        if self.leaving_members.insert(incarnation, until).is_none() {
-            let remaining_ms = remaining.as_millis();
-            log::info!("event=member_leaving member={id} takes_requests_ms={remaining_ms}");
+        match self.leaving_members.get_mut(&incarnation) {
+            Some(known) => *known = until.min(*known),
+            None => {
+                self.leaving_members.insert(incarnation, until);
+                let remaining_ms = remaining.as_millis();
+                log::info!("event=member_leaving member={id} takes_requests_ms={remaining_ms}");
+            }
         }
     }
 
--- a/components/gateway/tests/relay/look_ups.rs
+++ b/components/gateway/tests/relay/look_ups.rs
@@ -208,3 +208,20 @@
     entry_vm.node.mark_members_known();
     assert_eq!(send(&entry_vm, "/order/1", "ready", 1000).0, 200);
 }
+
+/// Guards against a late copy of an earlier datagram that makes an entry VM named again which has said
+/// that it takes no more requests.
+#[test]
+fn late_announcement_does_not_extend_the_time_of_a_leaving_entry_vm() {
+    let entry_vm = TestEntryVm::launch("entry", "north", &[]);
+    let gone = TestServer::start(|_, id| ok_response(id, "gone"));
+    thread::sleep(START_WAIT);
+    let exit = RemoteEntryVm::start_leaving("south", Duration::ZERO, &entry_vm, &gone);
+    thread::sleep(SLACK);
+    assert_eq!(entry_vm.look_up().0, 503);
+    drop(exit);
+    thread::sleep(Duration::from_millis(60));
+    let _late = RemoteEntryVm::start_leaving("south", TAKES_REQUESTS, &entry_vm, &gone);
+    thread::sleep(SLACK);
+    assert_eq!(entry_vm.look_up().0, 503);
+}
