Let the scripted leaving entry VM of the tests announce the time that passes

Cause: it announced the same time again and again. Since the earliest end that an entry VM has announced counts, its time ran out although it went on announcing, and two tests of look-ups failed.

Change: it announces what is left of its time, as an entry VM does. The tests give it the time that they take more; what they check is as before.

--- a/components/gateway/src/dispatcher/leave.rs
+++ b/components/gateway/src/dispatcher/leave.rs
@@ -52,14 +52,13 @@
         };
         let id = member.id.clone();
         let until = now.saturating_add(remaining);
-        match self.leaving_members.get_mut(&incarnation) {
-            Some(known) => *known = until.min(*known),
-            None => {
-                self.leaving_members.insert(incarnation, until);
-                let remaining_ms = remaining.as_millis();
-                log::info!("event=member_leaving member={id} takes_requests_ms={remaining_ms}");
-            }
+        if let Some(known) = self.leaving_members.get_mut(&incarnation) {
+            *known = until.min(*known);
+            return;
         }
+        self.leaving_members.insert(incarnation, until);
+        let remaining_ms = remaining.as_millis();
+        log::info!("event=member_leaving member={id} takes_requests_ms={remaining_ms}");
     }
 
     /// Forgets the entry VMs that have left.
--- a/components/gateway/tests/relay/forward.rs
+++ b/components/gateway/tests/relay/forward.rs
@@ -72,7 +72,7 @@
         Self::announce(domain, region, entry_vm, forward_target, Announced::CutOff)
     }
 
-    /// Announces an entry VM that is leaving, as if it always took requests for `left`.
+    /// Announces an entry VM that is leaving and takes requests for `left` from now on.
     pub fn start_leaving(
         domain: &str,
         left: Duration,
@@ -123,16 +123,21 @@
         if region == "alpen" {
             datagrams.push(pools);
         }
-        match announced {
-            Announced::Nothing => {}
-            Announced::CutOff => datagrams.push(Datagram::CutOff { incarnation }),
-            Announced::Leaving(left) => datagrams.push(Datagram::Leaving { incarnation, left }),
+        if announced == Announced::CutOff {
+            datagrams.push(Datagram::CutOff { incarnation });
         }
         let datagrams = datagrams.iter().map(|d| rmp_serde::to_vec(d).unwrap());
         let datagrams: Vec<Vec<u8>> = datagrams.collect();
         let (destination, stopped) = (entry_vm.node.own().peers, stop.clone());
+        let start = Instant::now();
         thread::spawn(move || {
             while !stopped.load(Ordering::Relaxed) {
+                if let Announced::Leaving(left) = announced {
+                    let left = left.saturating_sub(start.elapsed());
+                    let leaving = Datagram::Leaving { incarnation, left };
+                    let bytes = rmp_serde::to_vec(&leaving).unwrap();
+                    socket.send_to(&bytes, destination).unwrap();
+                }
                 for datagram in &datagrams {
                     socket.send_to(datagram, destination).unwrap();
                 }
--- a/components/gateway/tests/relay/look_ups.rs
+++ b/components/gateway/tests/relay/look_ups.rs
@@ -35,7 +35,7 @@
     let server = TestServer::start(|_, id| ok_response(id, "served"));
     let entry_vm = TestEntryVm::start(&[&server]);
     let other = TestServer::start(|_, id| ok_response(id, "other"));
-    let _other = RemoteEntryVm::start_leaving("south", TAKES_REQUESTS, &entry_vm, &other);
+    let _other = RemoteEntryVm::start_leaving("south", TAKES_REQUESTS * 2, &entry_vm, &other);
     thread::sleep(SLACK);
     let own = format!("[{}]", entry_vm.callers);
     assert_eq!(entry_vm.look_up(), (200, own.clone()));
@@ -80,7 +80,7 @@
     let servers = servers.each_ref();
     let entry_vm = TestEntryVm::start(&servers);
     let relay = TestServer::start(|_, id| ok_response(id, "passed on"));
-    let left = Duration::from_millis(1600);
+    let left = Duration::from_secs(3);
     let _relay = RemoteEntryVm::start_leaving("south", left, &entry_vm, &relay);
     begin(Cut::Reset, &servers);
     send_for(Duration::from_secs(1), &entry_vm, "first");
