Use a connection that is open when a busy process passes its time limit

Cause: the connection was open at once, but the task learned of it too late. If another thread is already waiting for I/O events when a task begins to wait for a socket, the reactor does not count the first event, so the task has to be run twice before it sees that the connection is open. When the executor needs more than 250 ms for that, the timer has expired and the attempt counts as unreachable. The only server is then excluded for the request, which waits for 1 s and is refused as overloaded:

attempt_failed id=good place=good outcome=unreachable error="time limit passed" took_ms=271 request id=good attempts=good:unreachable:271 status=503 code=overloaded took_ms=1187

The kernel is asked for the state of the connection before it is given up. A connection that the peer has not opened fails as before. Whether the request may still be sent is checked after that, as for all connections.

--- a/components/gateway/src/http/connection.rs
+++ b/components/gateway/src/http/connection.rs
@@ -92,10 +92,8 @@
 
     /// Opens a connection within `limit`.
     pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self> {
-        let stream = runtime::timeout(limit, TcpStream::connect(address))
-            .await
-            .ok_or(Error::Timeout)??;
-        Ok(Connection::new(stream))
+        let stream = runtime::connect(address, limit).await?;
+        Ok(Connection::new(stream.ok_or(Error::Timeout)?.into()))
     }
 
     /// Records that a request is about to be written. Returns what was sent before.
--- a/components/runtime/src/lib.rs
+++ b/components/runtime/src/lib.rs
@@ -11,5 +11,5 @@
 pub use async_executor::Task;
 pub use clock::Clock;
 pub use executor::{YieldBudget, block_on, spawn, spawn_control, spawn_service, timeout};
-pub use tcp::{discard_on_close, enable_keep_alive, limit_delivery_time};
+pub use tcp::{connect, discard_on_close, enable_keep_alive, limit_delivery_time};
 pub use timer::{TimerService, sleep};
--- a/components/runtime/src/tcp.rs
+++ b/components/runtime/src/tcp.rs
@@ -1,13 +1,17 @@
-//! Options of TCP connections: detection of peers that no longer respond, and discarding of requests
-//! that have not arrived.
+//! Opening of TCP connections and their options: detection of peers that no longer respond, and
+//! discarding of requests that have not arrived.
 
 use std::io::Result;
+use std::net::{SocketAddr, TcpStream};
 use std::os::fd::AsFd;
 use std::time::Duration;
 
+use async_io::Async;
 use futures_lite::FutureExt;
-use rustix::net::sockopt;
+use rustix::io::Errno;
+use rustix::net::{AddressFamily, SocketFlags, SocketType, socket_with, sockopt};
 
+use crate::executor::timeout;
 use crate::timer::sleep;
 
 /// Idle time before the first probe; one second is the shortest that the kernel allows.
@@ -25,6 +29,30 @@
 /// keep-alive probe, so that the limit does not apply to it.
 const DELIVERY_DECIDED: Duration = Duration::from_millis(1500);
 
+/// Opens a connection; returns `None` if it is not open when `limit` has passed.
+///
+/// On a busy executor, the task may not learn within the limit that the connection is open. So the
+/// kernel is asked before it is given up.
+pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Option<Async<TcpStream>>> {
+    let family = match address {
+        SocketAddr::V4(_) => AddressFamily::INET,
+        SocketAddr::V6(_) => AddressFamily::INET6,
+    };
+    let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
+    let socket = socket_with(family, SocketType::STREAM, flags, None)?;
+    match rustix::net::connect(&socket, &address) {
+        Ok(()) | Err(Errno::INPROGRESS) => {}
+        Err(e) => return Err(e.into()),
+    }
+    let stream = Async::new_nonblocking(TcpStream::from(socket))?;
+    let reported = timeout(limit, stream.writable()).await.transpose()?;
+    if let Some(e) = stream.get_ref().take_error()? {
+        return Err(e);
+    }
+    let open = reported.is_some() || stream.get_ref().peer_addr().is_ok();
+    Ok(open.then_some(stream))
+}
+
 /// Enables keep-alive so that a connection fails about three seconds after its peer stops
 /// responding.
 pub fn enable_keep_alive(socket: &impl AsFd) -> Result<()> {
