Report a request whose servers could not be reached as refused, not as overloaded

A request whose only server could not be reached waits for another one and is refused with code 312, no slot came free, or 313, no usable server, depending on whether the server's back-off has passed. It had free slots:

request id=good attempts=good:unreachable:271 status=503 code=overloaded took_ms=1187

Cause: only attempts that were sent count as tried, so the server is excluded without being named in the code. docs/RESULT-CODES.md describes this case under 315: every server that was tried refused the request or could not be reached.

Change: failed connection attempts count as well. Status, outcome, Retry-After and the wait stay.

--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -403,7 +403,9 @@
         return Answer::own(Code::AnswerLost, None);
     }
     let code = match reason {
-        RefuseReason::Overloaded | RefuseReason::NoServers if history.sent_attempts > 0 => {
+        RefuseReason::Overloaded | RefuseReason::NoServers
+            if history.sent_attempts + history.connect_failures > 0 =>
+        {
             Code::Refused
         }
         RefuseReason::Overloaded => Code::Overloaded,
--- a/components/gateway/tests/relay/answers.rs
+++ b/components/gateway/tests/relay/answers.rs
@@ -237,6 +237,18 @@
     assert_eq!(live.count(), 6);
 }
 
+/// Guards against a refusal that says that no slot came free, although the only server has free slots and
+/// could not be reached.
+#[test]
+fn refusal_says_that_the_only_server_could_not_be_reached() {
+    let gone = TestServer::absent(([127, 0, 0, 1], 9).into());
+    let entry_vm = TestEntryVm::start(&[&gone]);
+    let (status, head, _) = entry_vm.send("POST", "/order/1", "a1");
+    assert_eq!(status, 503, "{head}");
+    assert!(head.contains("x-result-code: 315"), "{head}");
+    assert!(head.contains("x-outcome: not-run"), "{head}");
+}
+
 /// Size of a response body that exceeds the gateway's buffer of 256 KiB.
 const LONG_BODY_BYTES: usize = 700_000;
 
