--- a/components/dispatch/tests/look_up.rs
+++ b/components/dispatch/tests/look_up.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dispatch::{Candidate, HostRoute, LookUp, Member, MemberState, Quality, select};
+use dispatch::{Candidate, HostRoute, LookUp, Member, MemberState, Quality, Selection, select};
 use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -162,6 +162,17 @@
     assert_eq!(soon.map(|l| l.2), Some(Duration::from_millis(100)));
 }
 
+/// Answers a look-up of a caller in domain `d1` with candidates that [`State`] does not describe.
+fn select_from<'a>(routes: &[HostRoute], candidates: &[Candidate<'a>]) -> Option<Selection<'a>> {
+    let query = LookUp {
+        region: "donau",
+        domain: "d1",
+        routes,
+        evacuated: &[],
+    };
+    select(&query, candidates)
+}
+
 /// Guards against callers who are sent to an entry VM that leaves and is cut off from the servers,
 /// while another one that leaves reaches them.
 #[test]
@@ -172,18 +183,44 @@
         ..candidate(&members[0], LEAVING)
     };
     let candidates = [cut_off, candidate(&members[1], LEAVING)];
-    let query = LookUp {
-        region: "donau",
-        domain: "d1",
-        routes: &[],
-        evacuated: &[],
-    };
-    let selection = select(&query, &candidates).expect("an answer");
+    let selection = select_from(&[], &candidates).expect("an answer");
     assert_eq!(selection.members, [&members[1]]);
-    let selection = select(&query, &candidates[..1]).expect("an answer");
+    let selection = select_from(&[], &candidates[..1]).expect("an answer");
     assert_eq!(selection.members, [&members[0]]);
 }
 
+/// Guards against an empty answer while requests of one route still end in time, and those of another
+/// do not.
+#[test]
+fn leaving_entry_vms_are_named_for_the_shortest_time_limit() {
+    let members = [member(0, 0, LEAVING)];
+    let candidates = [candidate(&members[0], LEAVING)];
+    let routes = [5, 1].map(|seconds| HostRoute {
+        allowed_regions: &[],
+        time_limit: SECOND * seconds,
+    });
+    assert!(select_from(&routes, &candidates).is_some());
+    assert!(select_from(&routes[..1], &candidates).is_none());
+}
+
+/// Guards against answers that outlive one of the entry VMs that they name, or that name one which has
+/// ended, also if its state has not arrived.
+#[test]
+fn answers_end_with_the_first_entry_vm_that_leaves() {
+    let left = |ms| State::Leaving(Duration::from_millis(ms));
+    let lifetime = |vms: &[Vm]| look_up(vms, &[], &[]).map(|l| l.2);
+    let first = Some(Duration::from_millis(100));
+    assert_eq!(lifetime(&[(0, left(200)), (0, left(100))]), first);
+    assert_eq!(lifetime(&[(0, left(100)), (0, left(200))]), first);
+    assert_eq!(lifetime(&[(0, left(0))]), None);
+    let members = [member(0, 0, READY)];
+    let ended = Candidate {
+        time_left: Some(Duration::ZERO),
+        ..candidate(&members[0], READY)
+    };
+    assert!(select_from(&[], &[ended]).is_none());
+}
+
 /// Whether an entry VM may take requests of a route: the statement of what a look-up promises, written
 /// apart from the selection.
 fn may_take(vm: Vm, all: &[Vm], route: &[&str]) -> bool {
