Notice a cut when an attempt at each server in use has failed

Cause: an entry VM counts as cut off after four failed attempts at two servers or more. With three servers in use, one failed attempt at each puts all of them into back-off, and the fourth attempt comes 0.4 s later or more; until then its requests are refused although another entry VM would take them.

Change: a failed attempt at each server in use, two at least, suffices.

--- a/components/dispatch/src/reachability.rs
+++ b/components/dispatch/src/reachability.rs
@@ -6,7 +6,8 @@
 use smallvec::SmallVec;
 
 /// Failed attempts, without a connection that could be opened between them, from which this entry VM
-/// counts as cut off.
+/// counts as cut off. Fewer suffice if they failed at all servers in use: these back off then, and
+/// further attempts may only come late.
 const MIN_FAILURES: u32 = 4;
 /// Servers at which they must have failed; one alone is more likely to be down itself.
 const MIN_SERVERS: usize = 2;
@@ -16,8 +17,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Reachability {
     failures: u32,
-    /// Servers at which attempts failed, up to `MIN_SERVERS`.
-    failed_servers: SmallVec<[ServerId; MIN_SERVERS]>,
+    /// Servers at which attempts failed, up to `MIN_FAILURES`.
+    failed_servers: SmallVec<[ServerId; MIN_FAILURES as usize]>,
     cut_off_since: Option<Duration>,
 }
 
@@ -35,16 +36,17 @@
         self.cut_off_since.take()
     }
 
-    /// Records an attempt that did not reach its server; returns whether this entry VM counts as cut
-    /// off from now on.
-    pub fn record_failure(&mut self, server: &str, now: Duration) -> bool {
+    /// Records an attempt that did not reach its server, one of `in_use`; returns whether this entry VM
+    /// counts as cut off from now on.
+    pub fn record_failure(&mut self, server: &str, in_use: usize, now: Duration) -> bool {
         self.failures = self.failures.saturating_add(1);
         let known = self.failed_servers.iter().any(|s| &**s == server);
-        if !known && self.failed_servers.len() < MIN_SERVERS {
+        if !known && self.failed_servers.len() < MIN_FAILURES as usize {
             self.failed_servers.push(server.into());
         }
-        let enough = self.failures >= MIN_FAILURES && self.failed_servers.len() >= MIN_SERVERS;
-        if !enough || self.is_cut_off() {
+        let failed_servers = self.failed_servers.len();
+        let enough = self.failures >= MIN_FAILURES || failed_servers >= in_use;
+        if !enough || failed_servers < MIN_SERVERS || self.is_cut_off() {
             return false;
         }
         self.cut_off_since = Some(now);
--- a/components/gateway/src/dispatcher/reach.rs
+++ b/components/gateway/src/dispatcher/reach.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use config::Incarnation;
-use dispatch::{Member, MemberState};
+use dispatch::{Member, MemberState, Pool};
 
 use super::inner::Inner;
 use crate::message::Message;
@@ -26,7 +26,9 @@
 
     /// Records an attempt that did not reach its server.
     pub fn record_server_failure(&mut self, server: &str, now: Duration) {
-        if !self.reachability.record_failure(server, now) {
+        let servers = self.pools.values().flat_map(Pool::server_addresses);
+        let in_use = servers.count();
+        if !self.reachability.record_failure(server, in_use, now) {
             return;
         }
         metrics::gauge!("gateway_cut_off").set(1.0);
