End answers with leaving entry VMs before they refuse requests

Cause: an answer could live for all of the time that a leaving entry VM has left, but requests whose deadline is after its end are refused earlier. And an entry VM counted as able to forward requests to a region whose ready entry VMs are all cut off from the servers, which refuse what is forwarded to them.

Change: the lifetime ends when the shortest deadline of the host's routes no longer fits, but not below 0.1 s. Regions without a ready entry VM that reaches servers do not count for forwarding; the model of the property test says the same.

--- a/components/dispatch/src/look_up.rs
+++ b/components/dispatch/src/look_up.rs
@@ -10,6 +10,9 @@
 
 use crate::members::{Member, MemberState};
 
+/// Shortest lifetime of an answer that names leaving entry VMs; callers would look up again at once.
+const MIN_LIFETIME: Duration = Duration::from_millis(100);
+
 /// A question for entry VMs.
 #[derive(Clone, Copy, Debug)]
 pub struct LookUp<'a> {
@@ -93,8 +96,8 @@
     pub distance: Distance,
     /// Never empty.
     pub members: Vec<&'a Member>,
-    /// Shortest time for which one of them takes requests; `None` if they are not leaving.
-    pub time_left: Option<Duration>,
+    /// Shortest time for which one of them goes on to take requests; `None` if they are not leaving.
+    pub takes_requests_for: Option<Duration>,
 }
 
 impl Selection<'_> {
@@ -106,8 +109,8 @@
             (Quality::Ready, Distance::OtherRegion) | (Quality::CutOff, _) => 0.5,
             _ => 0.25,
         };
-        let time_left = self.time_left.unwrap_or(Duration::MAX);
-        longest.mul_f64(fraction).min(time_left)
+        let end = self.takes_requests_for.unwrap_or(Duration::MAX);
+        longest.mul_f64(fraction).min(end.max(MIN_LIFETIME))
     }
 }
 
@@ -124,8 +127,7 @@
 impl<'a> RegionAccess<'a> {
     /// `in_use` are the regions with entry VMs that requests can be forwarded to.
     fn new(region: &'a str, routes: &[HostRoute], in_use: &[&str]) -> Self {
-        let can_forward =
-            |route: &HostRoute| in_use.iter().any(|r| *r != region && route.allows(r));
+        let can_forward = |route: &HostRoute| in_use.iter().any(|r| route.allows(r));
         let takes = |route: &&HostRoute| route.allows(region) || can_forward(route);
         let limits = routes.iter().filter(takes).map(|r| r.time_limit);
         let any_limit = routes.is_empty().then_some(Duration::ZERO);
@@ -156,11 +158,13 @@
     let rank = |c: &Candidate| {
         let access = regions.iter().find(|r| *r.region == *c.member.region)?;
         let named = access.takes_requests(c) && !look_up.evacuated.contains(&c.member.domain);
-        named.then(|| look_up.rank(c, access))
+        let takes_requests_for = c.time_left.zip(access.shortest_limit);
+        let takes_requests_for = takes_requests_for.map(|(left, limit)| left.saturating_sub(limit));
+        named.then(|| (look_up.rank(c, access), takes_requests_for))
     };
     let mut best: Option<Selection> = None;
     for candidate in candidates {
-        let Some((quality, distance)) = rank(candidate) else {
+        let Some(((quality, distance), takes_requests_for)) = rank(candidate) else {
             continue;
         };
         let order = best
@@ -171,7 +175,7 @@
             Some(std::cmp::Ordering::Equal) => {
                 if let Some(best) = &mut best {
                     best.members.push(candidate.member);
-                    best.time_left = best.time_left.min(candidate.time_left);
+                    best.takes_requests_for = best.takes_requests_for.min(takes_requests_for);
                 }
             }
             Some(std::cmp::Ordering::Less) | None => {
@@ -179,7 +183,7 @@
                     quality,
                     distance,
                     members: vec![candidate.member],
-                    time_left: candidate.time_left,
+                    takes_requests_for,
                 });
             }
         }
@@ -198,7 +202,10 @@
         if !all.contains(&region) {
             all.push(region);
         }
-        if candidate.member.state == MemberState::Ready && !in_use.contains(&region) {
+        // One that is cut off passes no requests of another region on.
+        let takes_forwarded =
+            candidate.member.state == MemberState::Ready && candidate.reaches_servers;
+        if takes_forwarded && !in_use.contains(&region) {
             in_use.push(region);
         }
     }
--- a/components/dispatch/tests/look_up.rs
+++ b/components/dispatch/tests/look_up.rs
@@ -231,9 +231,7 @@
         State::Leaving(left) => left >= SECOND,
     };
     let ready_elsewhere = all.iter().any(|(domain, state)| {
-        matches!(state, State::Ready | State::CutOff)
-            && DOMAINS[*domain].1 != DOMAINS[vm.0].1
-            && allows(*domain)
+        *state == State::Ready && DOMAINS[*domain].1 != DOMAINS[vm.0].1 && allows(*domain)
     });
     in_time && (allows(vm.0) || ready_elsewhere)
 }
