Do not name another region at a starting entry VM at once

Cause: a starting entry VM has no routes yet, so all regions seem allowed; as soon as it had heard of an entry VM of another region, look-ups named that one, and requests could leave their homes.

Change: look-ups wait as well while only other regions could be named, within the 0.8 s from the start.

Result: the new test fails without the change (another region is named).

--- a/components/gateway/src/endpoints.rs
+++ b/components/gateway/src/endpoints.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_net::TcpListener;
-use dispatch::{HostRoute, MemberState};
+use dispatch::{Distance, HostRoute, MemberState, Quality};
 
 use crate::answer::Answer;
 use crate::dialect::LookUpQuery;
@@ -19,11 +19,12 @@
 /// Most addresses in the answer to a look-up; callers use no more.
 const MAX_ADDRESSES: usize = 64;
 
-/// Uptime until which look-ups wait if this entry VM is starting and knows of none that could be named.
-/// Entry VMs that start together are ready by then; callers wait for an answer for a second.
+/// Uptime until which look-ups wait if this entry VM is starting and knows of none in the caller's region
+/// that could be named. Entry VMs that start together are ready by then; callers wait for an answer for
+/// a second.
 const MAX_START_WAIT: Duration = Duration::from_millis(800);
 /// Time between attempts to answer such a look-up.
-const START_WAIT_INTERVAL: Duration = Duration::from_millis(10);
+const START_WAIT_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Answers a request to one of the endpoints.
 pub type Handler = fn(&Node, &RequestHead) -> Reply;
@@ -115,18 +116,23 @@
 }
 
 /// Answers a look-up with the addresses of entry VMs that the caller should use. Waits for a while if
-/// this entry VM is starting and may not have heard of the others yet.
+/// this entry VM is starting: it may not have heard of the others yet, nor know from the configuration
+/// whether other regions are allowed.
 pub fn look_up(node: &Node, head: &RequestHead) -> Reply {
     if path(head) != node.dialect.look_up_path {
         return not_found().into();
     }
     let query_string = head.target.split_once('?').map_or("", |(_, q)| q);
     let query = (node.dialect.parse_look_up)(query_string);
-    let Some((addresses, lifetime)) = select_addresses(node, &query) else {
-        let state = node.dispatcher.state();
-        if state == MemberState::Starting && node.now() < MAX_START_WAIT {
-            return Reply::Wait;
-        }
+    let state = node.dispatcher.state();
+    let selected = select_addresses(node, &query);
+    if state == MemberState::Starting
+        && node.now() < MAX_START_WAIT
+        && selected.as_ref().is_none_or(|s| !s.in_region)
+    {
+        return Reply::Wait;
+    }
+    let Some(selected) = selected else {
         metrics::counter!("gateway_look_ups_empty_total").increment(1);
         log::info!(
             "event=look_up_empty host={} domain={} state={state:?}",
@@ -135,7 +141,8 @@
         );
         return unavailable().into();
     };
-    let body = (node.dialect.encode_look_up)(&addresses, lifetime);
+    metrics::counter!("gateway_look_ups_total", "named" => selected.quality.label()).increment(1);
+    let body = (node.dialect.encode_look_up)(&selected.addresses, selected.lifetime);
     let mut answer = Answer::plain(200, "OK", body);
     answer.add("Content-Type", node.dialect.look_up_content_type);
     answer.into()
@@ -153,9 +160,18 @@
     head.target.split('?').next().unwrap_or("")
 }
 
-/// Selects the best entry VMs for a caller, in random order, and the lifetime of the answer; `None` if
-/// no entry VM takes requests of the host.
-fn select_addresses(node: &Node, query: &LookUpQuery) -> Option<(Vec<SocketAddr>, Duration)> {
+/// Content of the answer to a look-up.
+struct Selected {
+    addresses: Vec<SocketAddr>,
+    lifetime: Duration,
+    quality: Quality,
+    /// Whether the entry VMs are in the caller's region.
+    in_region: bool,
+}
+
+/// Selects the best entry VMs for a caller, in random order; `None` if no entry VM takes requests of the
+/// host.
+fn select_addresses(node: &Node, query: &LookUpQuery) -> Option<Selected> {
     let table = node.routes();
     let routes = table.as_ref().and_then(|t| t.hosts.get(&query.host));
     let routes = routes.into_iter().flatten().map(|route| HostRoute {
@@ -169,8 +185,11 @@
         let mut addresses: Vec<SocketAddr> = members.map(|m| m.callers).collect();
         fastrand::shuffle(&mut addresses);
         addresses.truncate(MAX_ADDRESSES);
-        let quality = selection.quality.label();
-        metrics::counter!("gateway_look_ups_total", "named" => quality).increment(1);
-        (addresses, selection.lifetime(longest))
+        Selected {
+            addresses,
+            lifetime: selection.lifetime(longest),
+            quality: selection.quality,
+            in_region: selection.distance != Distance::OtherRegion,
+        }
     })
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -41,7 +41,7 @@
 use relay::Origin;
 
 /// Fraction of the grace period after which idle connections of callers are closed. By then,
-/// callers have a new answer to their look-up, without this entry VM.
+/// callers have a new answer to their look-up, without this entry VM unless all of its region leave.
 const IDLE_CLOSE_FRACTION: f64 = 0.5;
 /// Fraction of the grace period before which the process does not exit, so that callers with a
 /// cached look-up answer can still connect.
@@ -55,8 +55,8 @@
 /// Time between checks for open work during a graceful stop.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Starts an entry VM. It becomes ready once it has a configuration and a complete list of servers, and knows the other entry
-/// VMs.
+/// Starts an entry VM. It becomes ready once it has a configuration and a complete list of servers,
+/// and knows the other entry VMs.
 pub async fn start(settings: Settings, dialect: Dialect, clock: Clock) -> Result<Arc<Node>> {
     let own = Member {
         id: settings.id.clone(),
@@ -134,8 +134,8 @@
     }
 }
 
-/// Serves until `stop` closes, then stops gracefully: look-ups no longer return this entry VM, open
-/// requests are answered, and the function returns before the grace period ends.
+/// Serves until `stop` closes, then stops gracefully: look-ups return this entry VM only if no other of
+/// its region is ready, open requests are answered, and the function returns before the grace period ends.
 pub async fn run_until(node: &Node, stop: Receiver<()>) {
     // Nothing is sent on the channel; it closes when the process is told to stop.
     let _ = stop.recv().await;
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -286,7 +286,8 @@
         self.dispatcher.leave(until);
     }
 
-    /// Announces that this entry VM takes no more requests, just before the process exits.
+    /// Announces that this entry VM takes no more requests, just before the process exits. Requests that
+    /// arrive after that are not refused, since nothing else runs before the exit.
     pub fn announce_exit(&self) {
         self.dispatcher.leave(self.now());
     }
--- a/components/gateway/tests/relay/look_ups.rs
+++ b/components/gateway/tests/relay/look_ups.rs
@@ -143,6 +143,22 @@
     );
 }
 
+/// Guards against requests that leave their homes (rule HOME) because a starting entry VM, which does not
+/// know the routes yet, named one of another region.
+#[test]
+fn starting_entry_vm_does_not_name_another_region_at_once() {
+    let entry_vm = TestEntryVm::launch("entry", "north", &[]);
+    let other = TestServer::start(|_, id| ok_response(id, "other region"));
+    let _other = RemoteEntryVm::start_in("west", "alpen", &entry_vm, &other);
+    let named = thread::scope(|scope| {
+        let look_up = scope.spawn(|| entry_vm.look_up());
+        thread::sleep(SLACK);
+        entry_vm.become_ready();
+        look_up.join().unwrap()
+    });
+    assert_eq!(named, (200, format!("[{}]", entry_vm.callers)));
+}
+
 /// Guards against look-ups that wait at a starting entry VM until callers give up, and so ask no other.
 #[test]
 fn look_ups_at_a_starting_entry_vm_fail_in_time() {
