--- a/components/dispatch/src/members.rs
+++ b/components/dispatch/src/members.rs
@@ -106,12 +106,14 @@
     capacity: Option<Capacity>,
 }
 
-/// A candidate for a task of its region: hash, member and capacity.
-type Candidate<'a> = (u64, &'a Member, Option<Capacity>);
+/// A member with what ranks it as a candidate for a task of its region: hash and capacity.
+type RankedMember<'a> = (u64, &'a Member, Option<Capacity>);
 
 /// Returns the largest value of each resource; `None` if a capacity is unknown, as it is for entry
 /// VMs of an older version. The choice is then by hash alone, on which all versions agree.
-fn largest_capacity<'a>(mut candidates: impl Iterator<Item = Candidate<'a>>) -> Option<Capacity> {
+fn largest_capacity<'a>(
+    mut candidates: impl Iterator<Item = RankedMember<'a>>,
+) -> Option<Capacity> {
     let first = candidates.next()?.2;
     candidates.fold(first, |max, (_, _, capacity)| Some(max?.max(capacity?)))
 }
@@ -283,7 +285,7 @@
     }
 
     /// Returns another member as a candidate; the smallest one while its capacity is still to arrive.
-    fn candidate<'a>(&self, peer: &'a Peer, now: Duration) -> Candidate<'a> {
+    fn candidate<'a>(&self, peer: &'a Peer, now: Duration) -> RankedMember<'a> {
         let awaited = self.own_capacity.is_some() && now < peer.first_seen + CAPACITY_WAIT;
         let capacity = peer.capacity.or_else(|| awaited.then(Capacity::default));
         (peer.hash, &peer.member, capacity)
@@ -294,7 +296,7 @@
         &'a self,
         region: &str,
         now: Duration,
-    ) -> impl Iterator<Item = Candidate<'a>> {
+    ) -> impl Iterator<Item = RankedMember<'a>> {
         self.candidates_in_state(MemberState::Ready, region, now)
     }
 
@@ -304,7 +306,7 @@
         state: MemberState,
         region: &str,
         now: Duration,
-    ) -> impl Iterator<Item = Candidate<'a>> {
+    ) -> impl Iterator<Item = RankedMember<'a>> {
         let own = (self.own_hash, &self.own, self.own_capacity);
         let others = self
             .others
@@ -351,7 +353,7 @@
                 && p.member.domain == self.own.domain
                 && p.member.state != MemberState::Leaving
         });
-        let mut members: Vec<Candidate> = others.map(|p| self.candidate(p, now)).collect();
+        let mut members: Vec<RankedMember> = others.map(|p| self.candidate(p, now)).collect();
         members.push((self.own_hash, &self.own, self.own_capacity));
         let largest = largest_capacity(members.iter().copied());
         members.sort_by_key(|(hash, _, capacity)| {
