Reject responses whose status is not within 100 to 599

Cause: the parser httparse accepts any three digits as a status, and the gateway did not check them. ResponseHead::parse now returns InvalidStatus outside 100 to 599. It is the only parser of responses in the gateway, so responses of servers and of other entry VMs are covered, and skipped and interim ones. Such a response is a lost one: an idempotent request goes to another server, a binding one gets 502, outcome unknown.

600 to 999 are not statuses of HTTP/1.1 (RFC 9110, 15): a client has to treat them as a server error.

--- a/components/gateway/src/http/error.rs
+++ b/components/gateway/src/http/error.rs
@@ -11,6 +11,8 @@
     Truncated,
     /// The message violates HTTP/1.1 or a rule of the gateway.
     Malformed(&'static str),
+    /// The status of a response is not within 100 to 599.
+    InvalidStatus(u16),
     /// The head is longer than allowed.
     HeadTooLong,
     /// The body is longer than allowed.
@@ -27,6 +29,12 @@
             Error::Closed => f.write_str("connection closed"),
             Error::Truncated => f.write_str("connection ended inside a message"),
             Error::Malformed(reason) => write!(f, "malformed message: {reason}"),
+            Error::InvalidStatus(status) => {
+                write!(
+                    f,
+                    "malformed message: status {status:03} is not within 100 to 599"
+                )
+            }
             Error::HeadTooLong => f.write_str("message head is too long"),
             Error::BodyTooLong => f.write_str("message body is too long"),
             Error::Timeout => f.write_str("time limit passed"),
--- a/components/gateway/src/http/head.rs
+++ b/components/gateway/src/http/head.rs
@@ -1,8 +1,12 @@
 //! Heads of requests and responses.
 
+use std::ops::RangeInclusive;
+
 use super::body::Framing;
 use super::error::{Error, Result};
 
+/// Status codes that HTTP defines. The parser accepts any three digits.
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
 /// Maximum number of header fields in a head.
 const MAX_HEADERS: usize = 100;
 
@@ -174,8 +178,12 @@
         let mut resp = httparse::Response::new(&mut headers);
         match resp.parse(buf) {
             Ok(httparse::Status::Complete(n)) => {
+                let status = resp.code.unwrap_or(0);
+                if !VALID_STATUSES.contains(&status) {
+                    return Err(Error::InvalidStatus(status));
+                }
                 let head = ResponseHead {
-                    status: resp.code.unwrap_or(0),
+                    status,
                     reason: resp.reason.unwrap_or_default().into(),
                     minor_version: resp.version.unwrap_or(1),
                     headers: to_headers(resp.headers),
--- a/components/gateway/tests/relay/forward.rs
+++ b/components/gateway/tests/relay/forward.rs
@@ -311,3 +311,32 @@
         }
     }
 }
+
+/// Guards against a status that HTTP does not define reaching a caller through an entry VM of another region,
+/// which may run an older version (MIXED).
+#[test]
+fn forwarded_response_with_an_invalid_status_is_rejected() {
+    const STATUSES: [&str; 5] = ["000", "001", "099", "600", "999"];
+    let local = slow_server();
+    let remote = TestServer::start(move |n, id| {
+        let status = STATUSES[n];
+        let text = format!(
+            "HTTP/1.1 {status} X\r\nX-Id: {id}\r\nX-Signature: s\r\nContent-Length: 6\r\n\r\nbroken"
+        );
+        vec![ServerAction::Send(text.into_bytes())]
+    });
+    let entry_vm = TestEntryVm::start(&[&local]);
+    let callers = occupy_slots(&entry_vm, &local, entry_vm.callers);
+    let _remote = RemoteEntryVm::start(&entry_vm, &remote);
+    thread::sleep(Duration::from_millis(200));
+    for status in STATUSES {
+        let (answer, head, _) = entry_vm.send("POST", "/order/2", status);
+        assert_eq!(answer, 502, "{status}: {head}");
+        assert!(head.contains("x-outcome: unknown"), "{status}: {head}");
+        assert!(!head.contains("X-Signature"), "{status}: {head}");
+    }
+    assert_eq!((remote.count(), local.count()), (STATUSES.len(), 3));
+    for caller in callers {
+        caller.join().unwrap();
+    }
+}
--- a/components/gateway/tests/relay/main.rs
+++ b/components/gateway/tests/relay/main.rs
@@ -9,6 +9,7 @@
 mod forward;
 mod harness;
 mod hedges;
+mod invalid_heads;
 mod look_ups;
 mod malformed_input;
 mod partition;
--- a/components/http/tests/faulty_servers.rs
+++ b/components/http/tests/faulty_servers.rs
@@ -115,3 +115,21 @@
     let statuses = [(); 2].map(|()| u16::from(exchange(addr).0.unwrap().status()));
     assert_eq!(statuses, [503, 200]);
 }
+
+/// Guards against a status that HTTP does not define, which would be relayed to a caller as the answer of a
+/// server, or taken for an empty answer because statuses below 200 have no body.
+#[test]
+fn response_with_an_invalid_status_is_an_error() {
+    for status in ["000", "001", "099", "600", "999"] {
+        for rest in [
+            "content-length: 4\r\n\r\nbody",
+            "transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            "\r\nbody",
+        ] {
+            let response = format!("HTTP/1.1 {status} X\r\n{rest}");
+            let addr = start_server(response.clone().into_bytes(), Vec::new());
+            let (result, _) = exchange(addr);
+            assert!(result.is_err(), "accepted: {response}");
+        }
+    }
+}
