Do not take a reset for the end of a body after a failed write

Cause: the kernel reports the error of a reset once, to whatever uses the socket next. send_and_read_head polls the write first; it took the error and only logged it. The read then got the bytes that had arrived and an end of file, by which a body that ends with the connection is complete. Checked with plain sockets: after a reset, write gives ECONNRESET, then read gives the part and then 0; without the write, read gives the part and then ECONNRESET.

Writes go through a Writer that keeps the error for the connection, and a read that would return the end of the connection returns that error instead. EPIPE is not kept: the kernel gives it instead of ECONNRESET if the end of the peer's side had arrived in order before the reset, and then the body is complete. Bodies with a length or in chunks don't depend on the end of the connection and are delivered as before.

The connection is the only reader in the gateway, so responses of servers and of other entry VMs are covered, buffered and streamed ones. Other places that take a socket's error were read: is_stale and the opening of a connection give the connection up, wait_closed and the sessions' writes concern callers, whose bodies have a length or chunks; the options that are set take no error (checked with plain sockets). components/http, which the product's own interface and the client of the store use, rejects responses without length and chunks.

Evidence, on aarch64: before the change response_reset_during_the_upload_is_not_complete fails, "30 of 40 look complete": all variants with the reset right after the part, none of those with it 20 ms later. read_reset_during_the_upload_gets_the_response_of_another_server and forwarded_response_reset_during_the_upload_is_not_complete fail too. After it they pass; response_that_ends_in_order_during_the_upload_is_complete and response_with_a_length_is_complete_before_a_reset_during_the_upload pass before and after.

--- a/components/gateway/src/exchange.rs
+++ b/components/gateway/src/exchange.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_lite::{AsyncWriteExt, FutureExt};
+use futures_lite::FutureExt;
 
 use crate::dialect::HeaderNames;
 use crate::http::{Body, Connection, ConnectionHistory, Error, Framing, ResponseHead};
@@ -178,15 +178,16 @@
     via: ConnectionHistory,
     request_written: &mut bool,
 ) -> Result<ResponseHead, Error> {
-    let mut stream = connection.stream();
+    let mut writer = connection.writer();
     let write = async {
         let written = async {
-            stream.write_all(&out.bytes).await?;
-            stream.write_all(out.body).await
+            writer.write_all(&out.bytes).await?;
+            writer.write_all(out.body).await
         };
         match written.await {
             Ok(()) => *request_written = true,
-            // The response may have arrived before the failure; the read shows that.
+            // The response may have arrived before the failure; the read shows that, and also gets the
+            // error if the response ends with the connection.
             Err(e) => log::debug!("event=request_write_failed id={} error=\"{e}\"", out.id),
         }
         futures_lite::future::pending().await
--- a/components/gateway/src/http/connection.rs
+++ b/components/gateway/src/http/connection.rs
@@ -2,9 +2,11 @@
 
 use std::fmt;
 use std::future::poll_fn;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
@@ -39,6 +41,32 @@
     number: u64,
     opened_at: Instant,
     sent_ids: SentIds,
+    /// Error that a [`Writer`] has taken from the socket.
+    write_error: Arc<OnceLock<ErrorKind>>,
+}
+
+/// Writes to a connection, also while its [`Connection`] is being read.
+///
+/// The kernel reports an error such as a reset once, to whatever uses the socket next. After a write that
+/// has taken it, reads see an orderly end, so that a body that ends with the connection would look
+/// complete. The writer keeps the error for the reads.
+#[derive(Debug)]
+pub struct Writer {
+    stream: TcpStream,
+    error: Arc<OnceLock<ErrorKind>>,
+}
+
+impl Writer {
+    pub async fn write_all(&mut self, bytes: &[u8]) -> Result<()> {
+        let written = self.stream.write_all(bytes).await;
+        if let Err(e) = &written
+            // Reported instead of a reset if the peer had ended its side in order before.
+            && e.kind() != ErrorKind::BrokenPipe
+        {
+            self.error.get_or_init(|| e.kind());
+        }
+        Ok(written?)
+    }
 }
 
 /// What was sent on a connection before a request, for log lines.
@@ -87,6 +115,7 @@
             number: NEXT_NUMBER.fetch_add(1, Ordering::Relaxed),
             opened_at: Instant::now(),
             sent_ids: SentIds::default(),
+            write_error: Arc::default(),
         }
     }
 
@@ -135,11 +164,19 @@
         self.request_since = None;
     }
 
-    /// Returns a second handle of the stream, for writing concurrently with reading.
+    /// Returns a second handle of the stream, for its options and its shutdown.
     pub fn stream(&self) -> TcpStream {
         self.stream.clone()
     }
 
+    /// Returns a writer to use concurrently with reading.
+    pub fn writer(&self) -> Writer {
+        Writer {
+            stream: self.stream.clone(),
+            error: self.write_error.clone(),
+        }
+    }
+
     /// Returns the unconsumed bytes; none after `need_more` until more are received.
     pub fn buffered(&self) -> &[u8] {
         if self.needs_more {
@@ -175,7 +212,8 @@
         Ok(false)
     }
 
-    /// Reads once; returns 0 if the peer has closed the connection in order.
+    /// Reads once; returns 0 if the peer has closed the connection in order. An end after a write has
+    /// failed is an error, see [`Writer`].
     pub async fn fill(&mut self) -> Result<usize> {
         if self.consumed > 0 {
             self.buf.drain(..self.consumed);
@@ -195,7 +233,10 @@
         })
         .await;
         self.needs_more = false;
-        Ok(read?)
+        match (read?, self.write_error.get()) {
+            (0, Some(&kind)) => Err(Error::Io(kind)),
+            (n, _) => Ok(n),
+        }
     }
 
     /// Returns the number of unconsumed bytes, also after `need_more`.
@@ -263,7 +304,7 @@
     }
 
     pub async fn write(&mut self, bytes: &[u8]) -> Result<()> {
-        Ok(self.stream.write_all(bytes).await?)
+        self.writer().write_all(bytes).await
     }
 
     /// Returns whether an idle connection must not be reused: it has unread input, was closed or
--- a/components/gateway/tests/relay/forward.rs
+++ b/components/gateway/tests/relay/forward.rs
@@ -155,7 +155,7 @@
 }
 
 /// Takes all slots of the only server until its responses arrive.
-fn occupy_slots(
+pub fn occupy_slots(
     entry_vm: &TestEntryVm,
     server: &TestServer,
     address: SocketAddr,
@@ -182,7 +182,7 @@
     callers
 }
 
-fn slow_server() -> TestServer {
+pub fn slow_server() -> TestServer {
     TestServer::start(|_, id| {
         let mut actions = vec![ServerAction::Wait(Duration::from_millis(600))];
         actions.extend(ok_response(id, "near"));
--- a/components/gateway/tests/relay/main.rs
+++ b/components/gateway/tests/relay/main.rs
@@ -17,3 +17,4 @@
 mod refusal_copies;
 mod reused_addresses;
 mod stop;
+mod upload_resets;
