Reject responses with a bare line feed in their head

It was found while the test for field names with blank and control bytes was written; all other blank and control bytes, before, in and behind each name, were rejected already.

Cause: the parser httparse takes a line feed without carriage return for the end of a line, so one at the start of a line ends the head there. If the id and the signature come before it and the length behind it, the rest is taken for a body that ends with the connection. ResponseHead::parse now rejects bare line feeds, as the product's own interface (components/http) does.

Evidence: before the change response_with_an_invalid_field_name_is_rejected fails with 4 of its insertions accepted, all 0x0a before a name behind the signature, for example with status 200 and the body "Content-Length: 6\r\n\r\n6\r\nbroken..."; after it passes.

The product's own interface needed no change: response_with_an_invalid_field_name_is_an_error passes.

--- a/components/gateway/src/http/head.rs
+++ b/components/gateway/src/http/head.rs
@@ -115,6 +115,16 @@
     Ok(true)
 }
 
+/// Rejects line feeds without a carriage return, which the parser takes for the end of a line. One before a
+/// field name would end the head there, and the rest of the head would become part of the body.
+fn reject_bare_line_feeds(head: &[u8]) -> Result<()> {
+    let mut line_feeds = head.iter().enumerate().filter(|(_, b)| **b == b'\n');
+    if line_feeds.any(|(i, _)| i == 0 || head[i - 1] != b'\r') {
+        return Err(Error::Malformed("line feed without carriage return"));
+    }
+    Ok(())
+}
+
 fn to_headers(parsed: &[httparse::Header<'_>]) -> Vec<Header> {
     parsed
         .iter()
@@ -178,6 +188,7 @@
         let mut resp = httparse::Response::new(&mut headers);
         match resp.parse(buf) {
             Ok(httparse::Status::Complete(n)) => {
+                reject_bare_line_feeds(&buf[..n])?;
                 let status = resp.code.unwrap_or(0);
                 if !VALID_STATUSES.contains(&status) {
                     return Err(Error::InvalidStatus(status));
--- a/components/gateway/tests/relay/invalid_heads.rs
+++ b/components/gateway/tests/relay/invalid_heads.rs
@@ -80,3 +80,48 @@
         }
     }
 }
+
+/// Guards against a field name with a blank or control byte, before, in or behind it: the caller would get the
+/// field under another name, or a body that is not the server's (MIXED).
+#[test]
+fn response_with_an_invalid_field_name_is_rejected() {
+    let mut accepted = Vec::new();
+    for framing in ["Content-Length: 6", "Transfer-Encoding: chunked"] {
+        let fields = format!("X-Id: ID\r\nX-Signature: s\r\nX-Other: o\r\n{framing}\r\n");
+        let cases = insertions_into_names(&fields);
+        let (scripted, whole) = (cases.clone(), fields.clone());
+        let server = TestServer::start(move |n, id| {
+            let (at, byte) = scripted[n];
+            let (before, behind) = whole.split_at(at);
+            let fields = format!("{before}{}{behind}", char::from(byte)).replace("ID", id);
+            let response = format!("HTTP/1.1 200 OK\r\n{fields}\r\n6\r\nbroken\r\n0\r\n\r\n");
+            vec![
+                ServerAction::Send(response.into_bytes()),
+                ServerAction::Close,
+            ]
+        });
+        let entry_vm = TestEntryVm::start(&[&server]);
+        for (i, (at, byte)) in cases.iter().enumerate() {
+            let (status, head, body) = entry_vm.send("POST", "/order/1", &format!("a{i}"));
+            if status != 502 || head.contains("X-Signature") {
+                let before = &fields[..*at];
+                accepted.push(format!("{byte:#04x} after {before:?}: {status} {body:?}"));
+            }
+        }
+        assert_eq!(server.count(), cases.len(), "sent again");
+    }
+    assert!(accepted.is_empty(), "accepted:\n{}", accepted.join("\n"));
+}
+
+/// Returns the positions in and around the names of header fields, each with all blank and control bytes.
+fn insertions_into_names(fields: &str) -> Vec<(usize, u8)> {
+    let mut cases = Vec::new();
+    let mut start = 0;
+    for line in fields.split_inclusive("\r\n") {
+        let name_end = start + line.find(':').unwrap();
+        let bytes = (0..=b' ').chain([0x7f]);
+        cases.extend(bytes.flat_map(|byte| (start..=name_end).map(move |at| (at, byte))));
+        start += line.len();
+    }
+    cases
+}
--- a/components/http/tests/faulty_servers.rs
+++ b/components/http/tests/faulty_servers.rs
@@ -133,3 +133,27 @@
         }
     }
 }
+
+/// Guards against a field name with a blank or control byte: the field would be relayed under another name, or
+/// the body would have another length than the server gave it.
+#[test]
+fn response_with_an_invalid_field_name_is_an_error() {
+    let whole = "HTTP/1.1 200 OK\r\nx-a: b\r\ncontent-length: 4\r\n\r\nbody";
+    let names = ["x-a", "content-length"];
+    for (name, at) in names
+        .iter()
+        .flat_map(|n| (0..=n.len()).map(move |i| (n, i)))
+    {
+        for byte in (0..=b' ').chain([0x7f]) {
+            let mut response = whole.as_bytes().to_vec();
+            let start = whole.find(name).unwrap();
+            response.insert(start + at, byte);
+            let addr = start_server(response, Vec::new());
+            let (result, _) = exchange(addr);
+            assert!(
+                result.is_err(),
+                "accepted: {name}, byte {byte:#04x} at {at}"
+            );
+        }
+    }
+}
