Log why a response was rejected or a long answer cut, by the request's id

A long answer whose server broke off after its start had been passed on left a line "connection_ended" without an id, at debug level; the line of the request says "answered". And each malformed head was "invalid response head".

The new event answer_cut names the id, the server, the error, and whether the server, the caller or the deadline cut the answer; gateway_answers_cut_total counts them.

--- a/components/gateway/src/answer.rs
+++ b/components/gateway/src/answer.rs
@@ -1,16 +1,21 @@
 //! Answers to callers.
 
 use std::io::Write as _;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::codes::{CODE_HEADER, Code, OUTCOME_HEADER};
 use crate::dispatcher::Slot;
-use crate::http::{Body, Connection, Header, ResponseHead, is_hop_by_hop};
+use crate::http::{Body, Connection, Error, Header, ResponseHead, is_hop_by_hop};
 use crate::memory::Reservation;
 
 /// Remainder of a body that is too long to buffer, to be streamed from the server.
 #[derive(Debug)]
 pub struct Rest {
+    /// Id of the request.
+    pub id: Box<str>,
+    /// Address of the server, or of the entry VM that relayed the request to it.
+    pub address: SocketAddr,
     /// Connection to the server, or to the entry VM that relayed the request to it.
     pub connection: Connection,
     /// State of the body on that connection.
@@ -22,6 +27,40 @@
     pub _slot: Option<Slot>,
 }
 
+/// Why the body of an answer was cut after its start had been written to the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutBy {
+    /// The connection to the server failed or ended too early, or what it sent was malformed.
+    Server,
+    /// The connection to the caller failed.
+    Caller,
+    /// The deadline of the request, or the time limit for writing, passed.
+    Deadline,
+}
+
+impl CutBy {
+    fn label(self) -> &'static str {
+        match self {
+            CutBy::Server => "server",
+            CutBy::Caller => "caller",
+            CutBy::Deadline => "deadline",
+        }
+    }
+}
+
+impl Rest {
+    /// Logs and counts an answer whose body is not passed on to its end.
+    pub fn record_cut(&self, by: CutBy, error: Error) {
+        let by = by.label();
+        metrics::counter!("gateway_answers_cut_total", "by" => by).increment(1);
+        log::info!(
+            "event=answer_cut id={} address={} by={by} error=\"{error}\"",
+            self.id,
+            self.address
+        );
+    }
+}
+
 /// An answer to a caller.
 #[derive(Debug)]
 pub struct Answer {
--- a/components/gateway/src/callers/session.rs
+++ b/components/gateway/src/callers/session.rs
@@ -13,7 +13,7 @@
 use futures_lite::FutureExt;
 use runtime::Task;
 
-use crate::answer::{Answer, Rest, append_chunk};
+use crate::answer::{Answer, CutBy, Rest, append_chunk};
 use crate::codes::Code;
 use crate::http::{Connection, Error, Result};
 use crate::node::{BusyConnectionGuard, Node};
@@ -250,7 +250,7 @@
 
     async fn write(&mut self, mut answer: Answer, close: bool) -> Result<()> {
         let bytes = answer.take_encoded(close);
-        let rest = answer.rest.take();
+        let mut rest = answer.rest.take();
         let limit = rest.as_ref().map_or(WRITE_TIMEOUT, |r| {
             r.deadline_at
                 .saturating_sub(self.node.now())
@@ -258,31 +258,39 @@
         });
         let writing = async {
             self.connection.write(&bytes).await?;
-            match rest {
+            match &mut rest {
                 Some(rest) => self.stream_rest(rest).await,
                 None => Ok(()),
             }
         };
-        runtime::timeout(limit, writing)
-            .await
-            .unwrap_or(Err(Error::Timeout))
+        if let Some(result) = runtime::timeout(limit, writing).await {
+            return result;
+        }
+        if let Some(rest) = rest {
+            rest.record_cut(CutBy::Deadline, Error::Timeout);
+        }
+        Err(Error::Timeout)
     }
 
     /// Streams the rest of a long body. If the server's body is cut short, or has not ended by the
     /// deadline of the request, the connection is closed without the last chunk, so that the caller
     /// does not take the response for complete.
-    async fn stream_rest(&mut self, mut rest: Rest) -> Result<()> {
+    async fn stream_rest(&mut self, rest: &mut Rest) -> Result<()> {
         loop {
             let mut bytes = Vec::new();
             rest.body
                 .read(&mut rest.connection, &mut bytes, STREAM_CHUNK_BYTES)
-                .await?;
+                .await
+                .inspect_err(|e| rest.record_cut(CutBy::Server, *e))?;
             let mut out = Vec::with_capacity(bytes.len() + 16);
             append_chunk(&mut out, &bytes);
             if rest.body.is_complete() {
                 out.extend_from_slice(b"0\r\n\r\n");
             }
-            self.connection.write(&out).await?;
+            self.connection
+                .write(&out)
+                .await
+                .inspect_err(|e| rest.record_cut(CutBy::Caller, *e))?;
             if rest.body.is_complete() {
                 return Ok(());
             }
--- a/components/gateway/src/http/head.rs
+++ b/components/gateway/src/http/head.rs
@@ -125,6 +125,17 @@
     Ok(())
 }
 
+fn describe_invalid_response(error: httparse::Error) -> &'static str {
+    match error {
+        httparse::Error::HeaderName => "invalid name of a header field",
+        httparse::Error::HeaderValue => "invalid value of a header field",
+        httparse::Error::Status => "invalid status line",
+        httparse::Error::Version => "invalid HTTP version",
+        httparse::Error::TooManyHeaders => "too many header fields",
+        _ => "invalid response head",
+    }
+}
+
 fn to_headers(parsed: &[httparse::Header<'_>]) -> Vec<Header> {
     parsed
         .iter()
@@ -202,7 +213,7 @@
                 Ok(Some((head, n)))
             }
             Ok(httparse::Status::Partial) => Ok(None),
-            Err(_) => Err(Error::Malformed("invalid response head")),
+            Err(e) => Err(Error::Malformed(describe_invalid_response(e))),
         }
     }
 
--- a/components/gateway/src/relay/attempt.rs
+++ b/components/gateway/src/relay/attempt.rs
@@ -394,6 +394,8 @@
         return Step::done(Answer::own(Code::AnswerLost, None));
     }
     let rest = received.rest.map(|(connection, body)| Rest {
+        id: plan.id.clone(),
+        address: received.address,
         connection,
         body,
         deadline_at: plan.deadline_at,
--- a/components/gateway/src/relay/forward.rs
+++ b/components/gateway/src/relay/forward.rs
@@ -56,6 +56,8 @@
                 return handle_lost_response(history, false, Code::AnswerLost);
             }
             let rest = received.rest.map(|(connection, body)| Rest {
+                id: plan.id.clone(),
+                address: received.address,
                 connection,
                 body,
                 deadline_at: plan.deadline_at,
