--- a/components/gateway/tests/relay/invalid_heads.rs
+++ b/components/gateway/tests/relay/invalid_heads.rs
@@ -125,3 +125,30 @@
     }
     cases
 }
+
+/// Guards against a trailer that is no header field and reaches the caller, or is taken for a part of the body or
+/// of the next response (MIXED).
+#[test]
+fn trailer_that_is_no_field_is_not_passed_on() {
+    for trailer in ["X Bad: t", "X-Bad\t: t", "\u{1}X-Bad: t", ": Bad", "Bad"] {
+        let server = TestServer::start(move |n, id| {
+            if n % 2 == 1 {
+                return ok_response(id, "next");
+            }
+            let response = format!(
+                "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signature: s\r\n\
+                 Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n{trailer}\r\n\r\n"
+            );
+            vec![ServerAction::Send(response.into_bytes())]
+        });
+        let entry_vm = TestEntryVm::start(&[&server]);
+        let (status, head, body) = entry_vm.send("POST", "/order/1", "a1");
+        assert!(!head.contains("Bad"), "{trailer:?}: {head}");
+        assert!(
+            status == 502 || (status, &*body) == (200, "broken"),
+            "{trailer:?}: {status} {body}"
+        );
+        let (status, _, body) = entry_vm.send("POST", "/order/1", "a2");
+        assert_eq!((status, &*body), (200, "next"), "{trailer:?}");
+    }
+}
--- a/components/http/tests/faulty_servers.rs
+++ b/components/http/tests/faulty_servers.rs
@@ -157,3 +157,32 @@
         }
     }
 }
+
+/// Guards against a part of a body that looks complete after the server has reset the connection during the
+/// upload, with each way to end a body.
+#[test]
+fn response_reset_during_the_upload_is_an_error() {
+    const UPLOAD_BYTES: usize = 8_000_000;
+    for start in [
+        "\r\npart",
+        "connection: close\r\n\r\npart",
+        "content-length: 9\r\n\r\npart",
+        "transfer-encoding: chunked\r\n\r\n4\r\npart\r\n",
+    ] {
+        let response = format!("HTTP/1.1 200 OK\r\n{start}");
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        thread::spawn(move || {
+            let (mut tcp, _) = listener.accept().unwrap();
+            let _ = tcp.read(&mut [0; 1024]);
+            tcp.write_all(response.as_bytes()).unwrap();
+            // Closing with unread input resets the connection.
+            tcp.peek(&mut [0; 1]).unwrap();
+        });
+        let mut req = client::build_request(Method::Put, "/").unwrap();
+        req.set_body(vec![b'u'; UPLOAD_BYTES]);
+        let options = ClientOptions::default();
+        let result = runtime::block_on(1, client::request(addr, req, &options));
+        assert!(result.is_err(), "accepted: {start:?}");
+    }
+}
