Log an answer that is cut at its start as well

answer_cut was missing if the caller's connection failed while the start of a long answer was written to it. Start and rest are written by one loop now.

--- a/components/gateway/src/callers/session.rs
+++ b/components/gateway/src/callers/session.rs
@@ -257,10 +257,9 @@
                 .min(WRITE_TIMEOUT)
         });
         let writing = async {
-            self.connection.write(&bytes).await?;
             match &mut rest {
-                Some(rest) => self.stream_rest(rest).await,
-                None => Ok(()),
+                Some(rest) => self.write_streamed(bytes, rest).await,
+                None => self.connection.write(&bytes).await,
             }
         };
         if let Some(result) = runtime::timeout(limit, writing).await {
@@ -272,28 +271,29 @@
         Err(Error::Timeout)
     }
 
-    /// Streams the rest of a long body. If the server's body is cut short, or has not ended by the
-    /// deadline of the request, the connection is closed without the last chunk, so that the caller
-    /// does not take the response for complete.
-    async fn stream_rest(&mut self, rest: &mut Rest) -> Result<()> {
+    /// Writes the start of an answer and streams the rest of its long body. If the server's body is cut
+    /// short, or has not ended by the deadline of the request, the connection is closed without the last
+    /// chunk, so that the caller does not take the response for complete.
+    async fn write_streamed(&mut self, start: Vec<u8>, rest: &mut Rest) -> Result<()> {
+        let mut out = start;
         loop {
+            self.connection
+                .write(&out)
+                .await
+                .inspect_err(|e| rest.record_cut(CutBy::Caller, *e))?;
+            if rest.body.is_complete() {
+                return Ok(());
+            }
             let mut bytes = Vec::new();
             rest.body
                 .read(&mut rest.connection, &mut bytes, STREAM_CHUNK_BYTES)
                 .await
                 .inspect_err(|e| rest.record_cut(CutBy::Server, *e))?;
-            let mut out = Vec::with_capacity(bytes.len() + 16);
+            out = Vec::with_capacity(bytes.len() + 16);
             append_chunk(&mut out, &bytes);
             if rest.body.is_complete() {
                 out.extend_from_slice(b"0\r\n\r\n");
             }
-            self.connection
-                .write(&out)
-                .await
-                .inspect_err(|e| rest.record_cut(CutBy::Caller, *e))?;
-            if rest.body.is_complete() {
-                return Ok(());
-            }
         }
     }
 
--- a/components/gateway/tests/request_log.rs
+++ b/components/gateway/tests/request_log.rs
@@ -9,7 +9,7 @@
 use std::net::{Ipv4Addr, TcpListener};
 use std::sync::{Mutex, Once, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use harness::{ServerAction, TestEntryVm, TestServer, header_value, ok_response, shed_response};
 use log::{LevelFilter, Log, Metadata, Record};
@@ -224,3 +224,32 @@
         assert_eq!(logged("answer_cut", id, "address"), Some(address));
     }
 }
+
+/// Guards against the same for a caller that leaves before the end.
+#[test]
+fn log_shows_that_the_caller_left_during_a_long_answer() {
+    let server = TestServer::start(|_, id| {
+        let head = format!("HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signature: s\r\n\r\n");
+        vec![
+            ServerAction::Send(head.into_bytes()),
+            ServerAction::SendForever(vec![b'x'; 65_536]),
+        ]
+    });
+    set_logger();
+    let entry_vm = TestEntryVm::start(&[&server]);
+    let mut stream = entry_vm.connect();
+    stream
+        .write_all(&harness::request("GET", "/read/1", "left"))
+        .unwrap();
+    stream.read_exact(&mut vec![0; 400_000]).unwrap();
+    drop(stream);
+    let limit = Instant::now() + Duration::from_secs(5);
+    while logged("answer_cut", "left", "by").is_none() {
+        assert!(Instant::now() < limit, "no line about the cut answer");
+        thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(
+        logged("answer_cut", "left", "by").as_deref(),
+        Some("caller")
+    );
+}
