Let the store's stand-in come back from an older copy

The data can be copied and restored; each restoration raises the era that all answers state in Store-Era. Versions after the copy are unknown then, get 410, and are given out again. A fault replaces or omits the header.

--- a/components/standins/src/store/mod.rs
+++ b/components/standins/src/store/mod.rs
@@ -15,6 +15,8 @@
 
 /// Rows in a page of a list; few, so that tests read several pages.
 const PAGE_SIZE: usize = 10;
+/// Era before the first restoration.
+const FIRST_ERA: u64 = 1;
 /// Window of the rate limit.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
@@ -40,6 +42,8 @@
     /// Never responds to calls that arrive or become due meanwhile, and keeps their connections
     /// open; calls have no effect.
     Silent,
+    /// States this instead of the era, or nothing, in `Store-Era`; calls take effect.
+    Era(Option<&'static str>),
 }
 
 /// Part of a response that has no end.
@@ -52,6 +56,10 @@
     Pages,
 }
 
+/// Copy of the store's data, from which it can be restored.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(Data);
+
 /// Handle of a store stand-in; clones share its state.
 #[derive(Clone, Debug)]
 pub struct StoreStandIn {
@@ -77,8 +85,8 @@
     value: Option<Vec<u8>>,
 }
 
-#[derive(Debug, Default)]
-struct State {
+#[derive(Clone, Debug, Default)]
+struct Data {
     /// Version of the last change.
     version: u64,
     /// Value and version by table and key.
@@ -87,6 +95,13 @@
     history: Vec<Change>,
     /// Changes up to this version are no longer in the history.
     dropped_up_to: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    data: Data,
+    /// Number of times that the data was replaced by a copy.
+    restorations: u64,
     fault: Option<StoreFault>,
     /// Calls since the start.
     calls: u32,
@@ -128,15 +143,15 @@
 
     pub fn keys(&self, table: &str) -> Vec<String> {
         let state = self.shared.lock();
-        let rows = state.rows.keys().filter(|(t, _)| t == table);
+        let rows = state.data.rows.keys().filter(|(t, _)| t == table);
         rows.map(|(_, k)| k.clone()).collect()
     }
 
     /// Deletes the history, so that feeds from an older version get 410.
     pub fn drop_history(&self) {
         self.change(|s| {
-            s.dropped_up_to = s.version;
-            s.history.clear();
+            s.data.dropped_up_to = s.data.version;
+            s.data.history.clear();
         });
     }
 
@@ -145,6 +160,24 @@
         self.change(|s| s.fault = fault);
     }
 
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.shared.lock().data.clone())
+    }
+
+    /// Replaces all data by an earlier copy and raises the era. Later versions are unknown from now
+    /// on and are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        self.change(|s| {
+            s.restorations += 1;
+            s.data.clone_from(&copy.0);
+        });
+    }
+
+    /// Returns the version of the last change.
+    pub fn version(&self) -> u64 {
+        self.shared.lock().data.version
+    }
+
     /// Returns the number of calls so far.
     pub fn calls(&self) -> u32 {
         self.shared.lock().calls
@@ -164,14 +197,17 @@
 
 impl State {
     fn set(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
-        self.version += 1;
+        self.data.version += 1;
         let row_key = (table.to_owned(), key.to_owned());
         match &value {
-            Some(v) => self.rows.insert(row_key, (v.clone(), self.version)),
-            None => self.rows.remove(&row_key),
+            Some(v) => self
+                .data
+                .rows
+                .insert(row_key, (v.clone(), self.data.version)),
+            None => self.data.rows.remove(&row_key),
         };
-        self.history.push(Change {
-            version: self.version,
+        self.data.history.push(Change {
+            version: self.data.version,
             table: table.to_owned(),
             key: key.to_owned(),
             value,
@@ -203,6 +239,7 @@
             _ => u64::MAX,
         };
         let rows: Vec<Value> = self
+            .data
             .rows
             .iter()
             .filter(|((t, k), (_, version))| {
@@ -214,16 +251,16 @@
         let rows: Vec<Value> = rows.into_iter().take(PAGE_SIZE).collect();
         let mut response = self.response_body(&rows);
         response["has-more"] = more.into();
-        response["version-number"] = self.version.min(max_version).into();
+        response["version-number"] = self.data.version.min(max_version).into();
         (200, response)
     }
 
     /// Returns the changes of a table after a version; `None` if there are none yet.
     fn changes(&self, table: &str, after: u64) -> Option<(u16, Value)> {
-        if after < self.dropped_up_to {
+        if after < self.data.dropped_up_to || after > self.data.version {
             return Some((410, json!({"error": "history"})));
         }
-        let changes = self.history.iter();
+        let changes = self.data.history.iter();
         let rows: Vec<Value> = changes
             .filter(|c| c.version > after && c.table == table)
             .map(|c| encode_row(&c.table, &c.key, c.value.as_ref(), c.version))
@@ -235,7 +272,10 @@
         let entries = |name: &str| body[name].as_array().cloned().unwrap_or_default();
         let current_version = |e: &Value| {
             let row_key = (string_field(e, "table"), string_field(e, "key"));
-            self.rows.get(&row_key).map_or(0, |(_, version)| *version)
+            self.data
+                .rows
+                .get(&row_key)
+                .map_or(0, |(_, version)| *version)
         };
         let required_version = |e: &Value| e["version-number"].as_u64().unwrap_or(0);
         if entries("precondition")
@@ -264,8 +304,16 @@
         (200, self.response_body(&[]))
     }
 
+    /// Returns the value of `Store-Era`; `None` if it is not sent.
+    fn era_header(&self) -> Option<String> {
+        match self.fault {
+            Some(StoreFault::Era(text)) => text.map(str::to_owned),
+            _ => Some((FIRST_ERA + self.restorations).to_string()),
+        }
+    }
+
     fn response_body(&self, rows: &[Value]) -> Value {
-        json!({"rows": rows, "version-number": self.version, "current-time-s": 1.0})
+        json!({"rows": rows, "version-number": self.data.version, "current-time-s": 1.0})
     }
 }
 
--- a/components/standins/src/store/serve.rs
+++ b/components/standins/src/store/serve.rs
@@ -19,8 +19,12 @@
 
 /// What happens to a call.
 enum Outcome {
-    /// It gets this status and body.
-    Response(u16, Value),
+    /// It gets this status and body, and this value of `Store-Era` if any.
+    Response {
+        status: u16,
+        value: Value,
+        era: Option<String>,
+    },
     /// Its connection is closed without a response.
     Close,
     /// It gets the start of a response, and the rest again and again until the client closes the
@@ -42,8 +46,8 @@
     let Some(request) = read_request(&mut stream) else {
         return;
     };
-    let (status, value) = match respond(&request, shared) {
-        Outcome::Response(status, value) => (status, value),
+    let (status, value, era) = match respond(&request, shared) {
+        Outcome::Response { status, value, era } => (status, value, era),
         Outcome::Close => return,
         Outcome::Endless(start, repeated) => {
             let mut sent = stream.write_all(start.as_bytes());
@@ -62,8 +66,9 @@
         }
     };
     let body = value.to_string();
+    let era = era.map_or(String::new(), |e| format!("Store-Era: {e}\r\n"));
     let head = format!(
-        "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n{era}Content-Length: {}\r\n\r\n",
         body.len()
     );
     // Fails if the client has closed the connection, which needs no handling.
@@ -73,7 +78,7 @@
 fn respond(request: &Request, shared: &Shared) -> Outcome {
     let mut state = shared.lock();
     if state.count_call() {
-        return Outcome::Response(429, json!({}));
+        return state.response(429, json!({}));
     }
     if let Some(StoreFault::Slow(delay)) = state.fault {
         drop(state);
@@ -88,7 +93,7 @@
     loop {
         // A fault also ends waiting calls, as when the store goes down.
         match state.fault {
-            Some(StoreFault::Refuse(status)) => return Outcome::Response(status, json!({})),
+            Some(StoreFault::Refuse(status)) => return state.response(status, json!({})),
             Some(StoreFault::Reset) => return Outcome::Close,
             Some(StoreFault::Endless(EndlessPart::Head)) => {
                 return Outcome::Endless("HTTP/1.1 200 OK\r\n", "A: b\r\n");
@@ -99,18 +104,18 @@
             }
             Some(StoreFault::Endless(EndlessPart::Pages)) => {
                 return match &*request.path {
-                    "/rosemaryglade/rows-get" => Outcome::Response(200, endless_page(request)),
-                    _ => Outcome::Response(410, json!({})),
+                    "/rosemaryglade/rows-get" => state.response(200, endless_page(request)),
+                    _ => state.response(410, json!({})),
                 };
             }
-            Some(StoreFault::Garbage) => return Outcome::Response(200, Value::Null),
+            Some(StoreFault::Garbage) => return state.response(200, Value::Null),
             _ => {}
         }
         if let Some((status, value)) = state.handle(request) {
             return match state.fault {
                 Some(StoreFault::LoseAnswers) => Outcome::Close,
                 Some(StoreFault::Silent) => Outcome::Silence,
-                _ => Outcome::Response(status, value),
+                _ => state.response(status, value),
             };
         }
         let remaining = deadline.saturating_duration_since(Instant::now());
@@ -118,7 +123,7 @@
             if state.fault == Some(StoreFault::Silent) {
                 return Outcome::Silence;
             }
-            return Outcome::Response(200, state.response_body(&[]));
+            return state.response(200, state.response_body(&[]));
         }
         state = match shared.changed.wait_timeout(state, remaining) {
             Ok((state, _)) => state,
@@ -140,6 +145,14 @@
 }
 
 impl State {
+    fn response(&self, status: u16, value: Value) -> Outcome {
+        Outcome::Response {
+            status,
+            value,
+            era: self.era_header(),
+        }
+    }
+
     /// Executes a call; returns `None` if a feed has no changes yet.
     fn handle(&mut self, request: &Request) -> Option<(u16, Value)> {
         let table = request.query.get("table").map_or("", String::as_str);
