--- a/components/replica/src/lib.rs
+++ b/components/replica/src/lib.rs
@@ -11,7 +11,7 @@
 
 use async_channel::{Receiver, Sender};
 
-pub use table::{Row, Rows, Table, Version, VersionTooOld};
+pub use table::{Era, Row, Rows, Table, Version, VersionTooOld};
 
 /// Replicated tables by name, with a change notification.
 #[derive(Debug, Default)]
--- a/components/replica/src/table.rs
+++ b/components/replica/src/table.rs
@@ -5,6 +5,10 @@
 /// Transaction number of the store.
 pub type Version = u64;
 
+/// Number that the store raises each time it comes back from an older copy of its data. Transactions
+/// after the copy are gone then, and their numbers are given out again.
+pub type Era = u64;
+
 /// Tombstones kept so that followers learn of removed rows. More than the store removes while a
 /// follower is disconnected for a few seconds.
 const MAX_TOMBSTONES: usize = 1000;
@@ -23,6 +27,8 @@
 /// Snapshot of a table, or a list of changes, as of transaction `version`.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Rows {
+    /// Era of the store, if it states one.
+    pub era: Option<Era>,
     /// Ordered by key in a snapshot, by version in a list of changes.
     pub rows: Vec<Row>,
     /// Last transaction included.
@@ -119,6 +125,7 @@
             version: *version,
         });
         Rows {
+            era: None,
             rows: rows.collect(),
             version: self.position.unwrap_or(0),
         }
--- a/components/replica/tests/table.rs
+++ b/components/replica/tests/table.rs
@@ -17,6 +17,7 @@
     Rows {
         rows: rows.to_vec(),
         version,
+        ..Rows::default()
     }
 }
 
