Key versions of the store by its era, and keep what a restored copy lacks

What callers saw: requests reached a server long after it had said that it was leaving.

Cause: an entry VM kept the highest version it had seen and compared all others with it. Progress in heartbeats and replicas of other entry VMs compared bare versions as well, and took entry VMs that had followed the store back forward again.

Change: a position is an era and a version. Entry VMs state the era with their replicas and progress.

--- a/components/gateway/src/dispatcher.rs
+++ b/components/gateway/src/dispatcher.rs
@@ -23,6 +23,7 @@
     Decision, HostRoute, LookUp, Member, MemberState, Outcome, PoolSettings, RefuseReason,
     Selection, Server,
 };
+use replica::Position;
 use runtime::Clock;
 use smallvec::SmallVec;
 
@@ -290,7 +291,7 @@
     }
 
     /// Records how far a table of the platform has been replicated.
-    pub fn set_progress(&self, table: &str, position: u64, last_change: u64) {
+    pub fn set_progress(&self, table: &str, position: Position, last_change: Position) {
         let mut inner = self.lock();
         inner.progress.advance(table, position, last_change);
     }
--- a/components/gateway/src/dispatcher/progress.rs
+++ b/components/gateway/src/dispatcher/progress.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use replica::Position;
+
 use crate::message::LastChange;
 
 /// Time for which this entry VM may be behind another one; longer than the batches and transfers of
@@ -26,16 +28,16 @@
 #[derive(Debug, Default)]
 struct TableProgress {
     /// Transaction up to which this entry VM has all changes.
-    position: u64,
+    position: Position,
     /// Transaction of the last change that this entry VM has applied.
-    last_change: u64,
+    last_change: Position,
     ahead: Option<Ahead>,
 }
 
 /// A change that this entry VM does not have.
 #[derive(Debug)]
 struct Ahead {
-    change: u64,
+    change: Position,
     /// Peer address of the entry VM that reported this change or a later one last.
     peer: SocketAddr,
     /// When this entry VM is to read from the other one.
@@ -47,8 +49,11 @@
 impl Progress {
     /// Returns the last change of each table that this entry VM has applied.
     pub fn last_changes(&self) -> Vec<LastChange> {
-        let tables = self.tables.iter().filter(|(_, t)| t.last_change > 0);
-        tables.map(|(n, t)| (n.clone(), t.last_change)).collect()
+        let changed = self
+            .tables
+            .iter()
+            .filter(|(_, t)| t.last_change.version > 0);
+        changed.map(|(n, t)| (&**n, t.last_change).into()).collect()
     }
 
     /// Returns whether the last change has been announced less than `count` times, and counts an
@@ -59,7 +64,7 @@
     }
 
     /// Records the progress of this entry VM.
-    pub fn advance(&mut self, table: &str, position: u64, last_change: u64) {
+    pub fn advance(&mut self, table: &str, position: Position, last_change: Position) {
         let table = self.tables.entry(table.into()).or_default();
         table.position = table.position.max(position);
         if table.last_change < last_change {
@@ -71,7 +76,8 @@
 
     /// Records the last change that another entry VM has applied. Tables without a snapshot here are
     /// ignored.
-    pub fn record(&mut self, (table, change): LastChange, peer: SocketAddr, now: Duration) {
+    pub fn record(&mut self, last_change: LastChange, peer: SocketAddr, now: Duration) {
+        let (table, change) = last_change.into();
         let Some(table) = self.tables.get_mut(&table) else {
             return;
         };
--- a/components/gateway/src/message.rs
+++ b/components/gateway/src/message.rs
@@ -5,6 +5,7 @@
     AdmissionRequest, Capacity, Decision, Grant, LoadReport, Member, MemberState, Outcome,
     Placement, PoolSnapshot, RequestId,
 };
+use replica::{Era, Position, Version};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -100,6 +101,7 @@
     Capacities(Vec<(Incarnation, Capacity)>),
     /// The last change of each table of the platform that the sender has applied. Versions without
     /// it ignore the message.
+    #[serde(rename = "LastChangesOfEras")]
     LastChanges(Vec<LastChange>),
     /// The sender reaches no server at the moment; sent with its heartbeats. Versions without it
     /// ignore the message.
@@ -118,8 +120,36 @@
     },
 }
 
-/// Name of a table of the platform and the transaction of a change.
-pub type LastChange = (Box<str>, u64);
+/// Change of a table of the platform.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LastChange {
+    table: Box<str>,
+    /// Era of the platform's store, if it states one.
+    era: Option<Era>,
+    /// Transaction of the change in its era.
+    version: Version,
+}
+
+impl From<(&str, Position)> for LastChange {
+    fn from((table, position): (&str, Position)) -> Self {
+        LastChange {
+            table: table.into(),
+            era: position.era,
+            version: position.version,
+        }
+    }
+}
+
+impl From<LastChange> for (Box<str>, Position) {
+    fn from(change: LastChange) -> Self {
+        let LastChange {
+            table,
+            era,
+            version,
+        } = change;
+        (table, Position { era, version })
+    }
+}
 
 /// Encodes a message. Logs a failure and returns `None`.
 pub fn encode(message: &Message) -> Option<Vec<u8>> {
--- a/components/gateway/src/node.rs
+++ b/components/gateway/src/node.rs
@@ -9,6 +9,7 @@
 use async_channel::{Receiver, Sender};
 use config::{DomainId, Generation};
 use dispatch::{ClientLimits, Member, MemberState, PoolSettings, Route, RouteTable, Server};
+use replica::Position;
 
 use crate::dialect::Dialect;
 use crate::dispatcher::Dispatcher;
@@ -167,7 +168,7 @@
 
     /// Records the transaction up to which a table of the platform has been replicated, and that of
     /// its last change, which other entry VMs are told.
-    pub fn set_progress(&self, table: &str, position: u64, last_change: u64) {
+    pub fn set_progress(&self, table: &str, position: Position, last_change: Position) {
         self.dispatcher.set_progress(table, position, last_change);
     }
 
--- a/components/replica/src/lib.rs
+++ b/components/replica/src/lib.rs
@@ -3,7 +3,12 @@
 //! All sources replicate the same store, whose transactions are numbered. A row replaces the local
 //! one only if its version is higher, so the result does not depend on the order in which sources
 //! answer, and a row never reverts to an older version.
+//!
+//! A store that is back from an older copy begins a new era and gives versions out again. Versions
+//! are compared only within an era: a snapshot of a later one replaces a table, and what is of an
+//! earlier one is rejected.
 
+mod kept;
 mod table;
 
 use std::collections::BTreeMap;
@@ -11,7 +16,8 @@
 
 use async_channel::{Receiver, Sender};
 
-pub use table::{Era, Row, Rows, Table, Version, VersionTooOld};
+pub use kept::Kept;
+pub use table::{Era, OtherEra, Position, Row, Rows, Table, Version, VersionTooOld};
 
 /// Replicated tables by name, with a change notification.
 #[derive(Debug, Default)]
@@ -40,7 +46,7 @@
 
 impl Replica {
     /// Returns the last transaction applied to a table; `None` before the first snapshot.
-    pub fn position(&self, table: &str) -> Option<Version> {
+    pub fn position(&self, table: &str) -> Option<Position> {
         self.lock().tables.get(table).and_then(Table::position)
     }
 
@@ -51,10 +57,15 @@
 
     /// Applies the changes after the position for which they were requested; returns the rows that
     /// changed locally.
-    pub fn apply_changes(&self, table: &str, rows: Rows) -> Vec<Row> {
+    pub fn apply_changes(&self, table: &str, rows: Rows) -> Result<Vec<Row>, OtherEra> {
         self.modify(table, |t| t.apply_changes(rows))
     }
 
+    /// Ends the keeping of a table's rows for a reason; returns the rows that changed.
+    pub fn release(&self, table: &str, reason: Kept) -> Vec<Row> {
+        self.modify(table, |t| t.release(reason))
+    }
+
     /// Reads a table; `None` before the first snapshot.
     pub fn read<T>(&self, table: &str, f: impl FnOnce(&Table) -> T) -> Option<T> {
         let state = self.lock();
--- a/components/replica/tests/table.rs
+++ b/components/replica/tests/table.rs
@@ -30,14 +30,11 @@
         .unwrap();
     assert_eq!(
         table.apply_changes(rows(&[row("a", Some("3"), 3)], 3)),
-        [row("a", Some("3"), 3)]
+        Ok(vec![row("a", Some("3"), 3)])
     );
-    assert!(
-        table
-            .apply_changes(rows(&[row("a", Some("2"), 2)], 2))
-            .is_empty()
-    );
-    assert_eq!(table.position(), Some(3));
+    let older = table.apply_changes(rows(&[row("a", Some("2"), 2)], 2));
+    assert_eq!(older, Ok(vec![]));
+    assert_eq!(table.position().map(|p| p.version), Some(3));
     assert_eq!(table.snapshot().rows, [row("a", Some("3"), 3)]);
 }
 
@@ -48,8 +45,10 @@
     table
         .apply_snapshot(rows(&[row("a", Some("1"), 1)], 1))
         .unwrap();
-    table.apply_changes(rows(&[row("a", None, 4)], 4));
-    table.apply_changes(rows(&[row("a", Some("1"), 1)], 1));
+    for change in [row("a", None, 4), row("a", Some("1"), 1)] {
+        let version = change.version;
+        table.apply_changes(rows(&[change], version)).unwrap();
+    }
     assert!(table.snapshot().rows.is_empty());
     assert_eq!(table.changes_after(1).unwrap().rows, [row("a", None, 4)]);
 }
@@ -77,13 +76,15 @@
     table.apply_snapshot(rows(&[], 10)).unwrap();
     assert_eq!(table.changes_after(9), Err(VersionTooOld));
     for i in 11..2000 {
-        table.apply_changes(rows(&[row(&format!("{i}"), Some("x"), i)], i));
-        table.apply_changes(rows(&[row(&format!("{i}"), None, i)], i));
+        for value in [Some("x"), None] {
+            let change = row(&format!("{i}"), value, i);
+            table.apply_changes(rows(&[change], i)).unwrap();
+        }
     }
     let removals: Vec<Row> = (2000..4000)
         .map(|i| row(&format!("{}", i - 1989), None, i))
         .collect();
-    table.apply_changes(rows(&removals, 4000));
+    table.apply_changes(rows(&removals, 4000)).unwrap();
     assert_eq!(table.changes_after(10), Err(VersionTooOld));
     assert!(table.changes_after(3999).is_ok());
 }
@@ -119,9 +120,9 @@
                 return;
             }
             let target = &mut followers[to];
-            match target.position().map(|p| source.changes_after(p)) {
+            match target.position().map(|p| source.changes_after(p.version)) {
                 Some(Ok(changes)) if !full => {
-                    target.apply_changes(changes);
+                    target.apply_changes(changes).unwrap();
                 }
                 // A snapshot that is too old is rejected; the next read catches up.
                 _ => {
@@ -133,7 +134,7 @@
             if let Some(((key, value), version)) = writes.next() {
                 let value = value.map(|v| v.to_string());
                 let row = row(&key.to_string(), value.as_deref(), version);
-                store.apply_changes(rows(&[row], version));
+                store.apply_changes(rows(&[row], version)).unwrap();
             }
             read(&mut followers, &store, to, from, full);
         }
