Tell entry VMs that start in a new era what the others keep

What callers would see: requests reach a server that has left, through an entry VM that started after the restoration, or was cut off from all others before it.

Cause: such an entry VM has only the copy, which lists the server as ready; what was written after the copy is known to the others alone.

A row that was written again since is not replaced.

--- a/components/replica/src/kept.rs
+++ b/components/replica/src/kept.rs
@@ -31,7 +31,7 @@
 /// What stays in force of a row.
 #[derive(Clone, Debug)]
 pub(crate) struct KeptRow {
-    reason: Kept,
+    pub reason: Kept,
     /// `None` if the row was removed.
     pub value: Option<Vec<u8>>,
 }
@@ -88,10 +88,17 @@
         is_superseded
     }
 
-    /// Keeps a row that the snapshot of a new era does not have.
-    pub fn keep_missing(&mut self, key: Box<str>, value: Option<Vec<u8>>) {
-        let reason = Kept::Missing;
-        self.rows.insert(key, KeptRow { reason, value });
+    pub fn insert(&mut self, key: Box<str>, row: KeptRow) {
+        self.rows.insert(key, row);
+    }
+
+    pub fn contains(&self, key: &str) -> bool {
+        self.rows.contains_key(key)
+    }
+
+    /// Returns the keys and values that stay in force.
+    pub fn iter(&self) -> impl Iterator<Item = (&Box<str>, &Option<Vec<u8>>)> {
+        self.rows.iter().map(|(key, row)| (key, &row.value))
     }
 
     /// Ends the keeping of a row that is written again.
--- a/components/replica/src/lib.rs
+++ b/components/replica/src/lib.rs
@@ -66,6 +66,11 @@
         self.modify(table, |t| t.release(reason))
     }
 
+    /// Keeps rows that another process keeps in the same era; returns those that changed.
+    pub fn adopt_kept(&self, table: &str, kept: Rows) -> Vec<Row> {
+        self.modify(table, |t| t.adopt_kept(kept))
+    }
+
     /// Reads a table; `None` before the first snapshot.
     pub fn read<T>(&self, table: &str, f: impl FnOnce(&Table) -> T) -> Option<T> {
         let state = self.lock();
--- a/components/replica/src/table.rs
+++ b/components/replica/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::kept::{Kept, KeptRows};
+use crate::kept::{Kept, KeptRow, KeptRows};
 
 /// Transaction number of the store.
 pub type Version = u64;
@@ -162,6 +162,46 @@
         self.kept.count(reason)
     }
 
+    /// Returns the rows that stay in force of the era before, with tombstones.
+    pub fn kept(&self) -> Rows {
+        let position = self.position.unwrap_or_default();
+        let rows = self.kept.iter().map(|(key, value)| Row {
+            key: key.clone(),
+            value: value.clone(),
+            version: 0,
+        });
+        Rows {
+            era: position.era,
+            rows: rows.collect(),
+            version: position.version,
+        }
+    }
+
+    /// Keeps rows that another replica keeps in the same era, unless they were written again since its
+    /// position; returns those that changed.
+    pub fn adopt_kept(&mut self, kept: Rows) -> Vec<Row> {
+        if self.position.is_none_or(|p| p.era != kept.era) {
+            return Vec::new();
+        }
+        let mut changed = Vec::new();
+        for row in kept.rows {
+            let own = self.rows.get(&row.key);
+            let written_again = own.is_some_and(|(_, at)| *at > kept.version);
+            let value = own.and_then(|(value, _)| value.as_ref());
+            if written_again || self.kept.contains(&row.key) || value == row.value.as_ref() {
+                continue;
+            }
+            let reason = match value {
+                Some(_) => Kept::Superseded,
+                None => Kept::Missing,
+            };
+            let (key, value) = (row.key.clone(), row.value.clone());
+            self.kept.insert(key, KeptRow { reason, value });
+            changed.push(row);
+        }
+        changed
+    }
+
     /// Ends the keeping of rows for a reason; returns the rows of the current era that come into
     /// force, and removals of those that it does not have.
     pub fn release(&mut self, reason: Kept) -> Vec<Row> {
@@ -200,7 +240,8 @@
         }
         for (key, value) in in_force {
             if value.is_some() && !self.rows.contains_key(&key) {
-                self.kept.keep_missing(key, value);
+                let reason = Kept::Missing;
+                self.kept.insert(key, KeptRow { reason, value });
             }
         }
         changed
--- a/components/replica/tests/eras.rs
+++ b/components/replica/tests/eras.rs
@@ -133,6 +133,35 @@
     assert!(table.release(Kept::Missing).is_empty());
 }
 
+/// Guards against requests to a server that left, by an entry VM that did not see it leave, and against
+/// kept rows that replace what was written again.
+#[test]
+fn kept_rows_are_adopted_unless_they_were_written_again() {
+    let copy = [row("left", Some("ready"), 2), row("back", Some("ready"), 3)];
+    let mut other = table(&copy, 20);
+    let later = [
+        row("left", None, 30),
+        row("back", None, 31),
+        row("new", Some("ready"), 32),
+    ];
+    other.apply_changes(rows(1, &later, 32)).unwrap();
+    other.apply_snapshot(rows(2, &copy, 20)).unwrap();
+
+    let mut started = Table::default();
+    started.apply_snapshot(rows(2, &copy, 20)).unwrap();
+    let back = rows(2, &[row("back", Some("ready again"), 21)], 21);
+    started.apply_changes(back).unwrap();
+    let adopted: Vec<_> = started.adopt_kept(other.kept());
+    let adopted: Vec<_> = adopted.into_iter().map(|r| (r.key, r.value)).collect();
+    let expected = [("left".into(), None), ("new".into(), Some("ready".into()))];
+    assert_eq!(adopted, expected);
+    assert!(started.adopt_kept(other.kept()).is_empty());
+    assert_eq!(started.release(Kept::Missing), [row("new", None, 21)]);
+
+    let mut behind = table(&copy, 20);
+    assert!(behind.adopt_kept(other.kept()).is_empty(), "of another era");
+}
+
 /// A step of a history: a write, a copy, a restoration, or a read by a follower from another one.
 #[derive(Clone, Debug)]
 enum Step {
