--- a/components/replica/src/lib.rs
+++ b/components/replica/src/lib.rs
@@ -66,9 +66,10 @@
         self.modify(table, |t| t.release(reason))
     }
 
-    /// Keeps rows that another process keeps in the same era; returns those that changed.
-    pub fn adopt_kept(&self, table: &str, kept: Rows) -> Vec<Row> {
-        self.modify(table, |t| t.adopt_kept(kept))
+    /// Keeps rows that another process keeps in the same era; `missing` tells whether also those that
+    /// this replica does not have. Returns the rows that changed.
+    pub fn adopt_kept(&self, table: &str, kept: Rows, missing: bool) -> Vec<Row> {
+        self.modify(table, |t| t.adopt_kept(kept, missing))
     }
 
     /// Reads a table; `None` before the first snapshot.
--- a/components/replica/src/table.rs
+++ b/components/replica/src/table.rs
@@ -178,8 +178,9 @@
     }
 
     /// Keeps rows that another replica keeps in the same era, unless they were written again since its
-    /// position; returns those that changed.
-    pub fn adopt_kept(&mut self, kept: Rows) -> Vec<Row> {
+    /// position; `missing` tells whether also those that this one does not have. Returns the rows that
+    /// changed.
+    pub fn adopt_kept(&mut self, kept: Rows, missing: bool) -> Vec<Row> {
         if self.position.is_none_or(|p| p.era != kept.era) {
             return Vec::new();
         }
@@ -193,7 +194,8 @@
             }
             let reason = match value {
                 Some(_) => Kept::Superseded,
-                None => Kept::Missing,
+                None if missing => Kept::Missing,
+                None => continue,
             };
             let (key, value) = (row.key.clone(), row.value.clone());
             self.kept.insert(key, KeptRow { reason, value });
--- a/components/replica/tests/eras.rs
+++ b/components/replica/tests/eras.rs
@@ -151,15 +151,18 @@
     started.apply_snapshot(rows(2, &copy, 20)).unwrap();
     let back = rows(2, &[row("back", Some("ready again"), 21)], 21);
     started.apply_changes(back).unwrap();
-    let adopted: Vec<_> = started.adopt_kept(other.kept());
-    let adopted: Vec<_> = adopted.into_iter().map(|r| (r.key, r.value)).collect();
-    let expected = [("left".into(), None), ("new".into(), Some("ready".into()))];
-    assert_eq!(adopted, expected);
-    assert!(started.adopt_kept(other.kept()).is_empty());
+    let left = [row("left", None, 0)];
+    assert_eq!(started.adopt_kept(other.kept(), false), left);
+    let new = [row("new", Some("ready"), 0)];
+    assert_eq!(started.adopt_kept(other.kept(), true), new);
+    assert!(started.adopt_kept(other.kept(), true).is_empty());
     assert_eq!(started.release(Kept::Missing), [row("new", None, 21)]);
 
     let mut behind = table(&copy, 20);
-    assert!(behind.adopt_kept(other.kept()).is_empty(), "of another era");
+    assert!(
+        behind.adopt_kept(other.kept(), true).is_empty(),
+        "of another era"
+    );
 }
 
 /// A step of a history: a write, a copy, a restoration, or a read by a follower from another one.
