--- a/components/replica/src/kept.rs
+++ b/components/replica/src/kept.rs
@@ -36,6 +36,7 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// Kept rows of a table, and the values by which those of a copy are recognised as outdated.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct KeptRows {
     rows: BTreeMap<Box<str>, KeptRow>,
--- a/components/replica/src/table.rs
+++ b/components/replica/src/table.rs
@@ -158,7 +158,7 @@
     }
 
     /// Returns how many rows stay in force of the era before.
-    pub fn kept_rows(&self, reason: Kept) -> usize {
+    pub fn kept_count(&self, reason: Kept) -> usize {
         self.kept.count(reason)
     }
 
--- a/components/replica/tests/eras.rs
+++ b/components/replica/tests/eras.rs
@@ -82,7 +82,7 @@
     for era in [2, 3] {
         let restored = rows(era, &copy, 20);
         assert_eq!(table.apply_snapshot(restored), Ok(vec![]), "era {era}");
-        assert_eq!(table.kept_rows(Kept::Superseded), 2);
+        assert_eq!(table.kept_count(Kept::Superseded), 2);
     }
     // Other entry VMs get what the store has.
     assert_eq!(table.snapshot().rows, copy);
@@ -93,7 +93,7 @@
         table.apply_changes(alive),
         Ok(vec![row("left", Some("ready again"), 22)])
     );
-    assert_eq!(table.kept_rows(Kept::Superseded), 0);
+    assert_eq!(table.kept_count(Kept::Superseded), 0);
 }
 
 /// Guards against a store that is ignored for good where a write is never repeated.
@@ -120,7 +120,7 @@
     ];
     table.apply_changes(rows(1, &new, 32)).unwrap();
     assert_eq!(table.apply_snapshot(rows(2, &[], 20)), Ok(vec![]));
-    assert_eq!(table.kept_rows(Kept::Missing), 3);
+    assert_eq!(table.kept_count(Kept::Missing), 3);
     let again = [
         row("a", Some("1"), 21),
         row("b", Some("2"), 22),
