Use a server at once that registers late in a restored store

What callers would see: a running server that a restored store lacks for more than 3 s is not used for 6 s more after it has registered again, and its service has less room.

Cause: the end of its keeping was recorded like a removal that the store had reported, a sign that the server has left, so its row was held back.

Change: a removal that no transaction has made names version 0, and the server is used again with its next row, also that of the heartbeat that the store had lost.

Measured: server_that_registers_again_late_in_a_restored_store_is_used_at_once fails before and passes now.

--- a/components/replica/src/table.rs
+++ b/components/replica/src/table.rs
@@ -22,7 +22,8 @@
     pub key: Box<str>,
     /// `None` if the row was removed.
     pub value: Option<Vec<u8>>,
-    /// Transaction that wrote or removed the row.
+    /// Transaction that wrote or removed the row; 0 if no transaction removed it, but a restored store
+    /// lacks it.
     pub version: Version,
 }
 
@@ -199,7 +200,10 @@
             };
             let (key, value) = (row.key.clone(), row.value.clone());
             self.kept.insert(key, KeptRow { reason, value });
-            changed.push(row);
+            changed.push(Row {
+                version: kept.version,
+                ..row
+            });
         }
         changed
     }
@@ -207,10 +211,9 @@
     /// Ends the keeping of rows for a reason; returns the rows of the current era that come into
     /// force, and removals of those that it does not have.
     pub fn release(&mut self, reason: Kept) -> Vec<Row> {
-        let version = self.position.unwrap_or_default().version;
         let released = self.kept.release(reason);
         let rows = released.into_iter().filter_map(|(key, value)| {
-            let (current, at) = self.rows.get(&key).cloned().unwrap_or((None, version));
+            let (current, at) = self.rows.get(&key).cloned().unwrap_or((None, 0));
             (current != value).then_some(Row {
                 key,
                 value: current,
