--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -3,6 +3,7 @@
 
 mod gone;
 mod kit;
+mod pipeline;
 mod restart;
 
 use std::path::Path;
@@ -18,6 +19,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     let record = kit::Record::create(Path::new(record));
     let broken = match name.as_str() {
+        "pipeline" => pipeline::run(&record, trouble),
         "restart" => restart::run(&record, trouble),
         "gone" => gone::run(&record, trouble),
         _ => None,
