Add review case 13: a late heartbeat after an outage of the store

Cause: within two seconds of an outage, a row that is back after its removal is used at once if its heartbeat is later than the last one seen before (platform/src/discovery.rs, apply_registration). A heartbeat that the store performs late is later as well: entries change only when more than the sequence changes, so the last one seen is far behind.

--- a/review/standins-3/kit.rs
+++ b/review/standins-3/kit.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fs::File;
 use std::io::{self, Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -122,6 +122,8 @@
 pub struct Store {
     rows: Mutex<Rows>,
     changed: Condvar,
+    down: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
 }
 
 /// Address of the store for one entry VM.
@@ -146,6 +148,18 @@
         at
     }
 
+    /// Closes all connections, and new ones until `set_up`.
+    pub fn set_down(&self) {
+        self.down.store(true, Ordering::Relaxed);
+        for stream in self.connections.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    pub fn set_up(&self) {
+        self.down.store(false, Ordering::Relaxed);
+    }
+
     pub fn listen(self: &Arc<Self>, ip: Ipv4Addr, delay: f64) -> Arc<EntryPoint> {
         let listener = TcpListener::bind((ip, 0)).expect("store address");
         let entry = Arc::new(EntryPoint {
@@ -155,6 +169,12 @@
         let (store, point) = (self.clone(), entry.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if store.down.load(Ordering::Relaxed) {
+                    continue;
+                }
+                let mut connections = store.connections.lock().unwrap();
+                connections.extend(stream.try_clone());
+                drop(connections);
                 let (store, point) = (store.clone(), point.clone());
                 thread::spawn(move || store.serve(stream, &point));
             }
--- a/review/standins-3/restart.rs
+++ b/review/standins-3/late.rs
@@ -1,5 +1,5 @@
-//! A server leaves without `draining`, and a heartbeat that it sent before is performed late. An entry VM
-//! is restarted meanwhile, as planned work, and has not seen the server leave.
+//! A server leaves without `draining`, and a heartbeat that it sent before is performed late. Meanwhile an
+//! entry VM is restarted, as planned work, or the store is down for a moment.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -19,6 +19,8 @@
 const RESTART_S: f64 = 4.2;
 /// The other times of a cycle, from the removal on.
 const HEARTBEAT_S: f64 = -4.1;
+const DOWN_S: f64 = 0.2;
+const UP_S: f64 = 1.5;
 const PERFORMED_S: f64 = 1.7;
 /// Three heartbeat intervals of silence after the heartbeat was performed.
 const REMOVED_AGAIN_S: f64 = 6.2;
@@ -79,7 +81,14 @@
     "klagenfurt-b",
 ];
 
-pub fn run(record: &Arc<Record>, trouble: bool) -> Option<bool> {
+/// What happens beside the late heartbeat.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Meanwhile {
+    Restart,
+    Outage,
+}
+
+pub fn run(record: &Arc<Record>, trouble: bool, meanwhile: Meanwhile) -> Option<bool> {
     let pid = std::process::id();
     let net = [(pid % 100 + 20) as u8, (pid / 100 % 200 + 20) as u8];
     let store = Arc::new(Store::default());
@@ -134,6 +143,9 @@
         }
         let start_at = removal + started;
         let restart = || {
+            if meanwhile != Meanwhile::Restart {
+                return 0.0;
+            }
             sleep_until(start_at - RESTART_S);
             record.line(&format!("SIGTERM for {}", restarted.name));
             restarted.terminate();
@@ -149,6 +161,14 @@
             sleep_until(removal);
             removed_at = store.put("servers", &server.id, None);
             record.line(&format!("the store has removed the entry of {}", server.id));
+            if trouble && meanwhile == Meanwhile::Outage {
+                sleep_until(removal + DOWN_S);
+                store.set_down();
+                record.line("the store is down");
+                sleep_until(removal + UP_S);
+                store.set_up();
+                record.line("the store is back");
+            }
             if trouble {
                 sleep_until(removal + PERFORMED_S);
                 store.put("servers", &server.id, Some(&server.row("ready", 7)));
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -3,12 +3,14 @@
 
 mod gone;
 mod kit;
+mod late;
 mod pipeline;
-mod restart;
 
 use std::path::Path;
 use std::process::ExitCode;
 
+use late::Meanwhile;
+
 fn main() -> ExitCode {
     kit::now();
     let args: Vec<String> = std::env::args().collect();
@@ -20,7 +22,8 @@
     let record = kit::Record::create(Path::new(record));
     let broken = match name.as_str() {
         "pipeline" => pipeline::run(&record, trouble),
-        "restart" => restart::run(&record, trouble),
+        "restart" => late::run(&record, trouble, Meanwhile::Restart),
+        "outage" => late::run(&record, trouble, Meanwhile::Outage),
         "gone" => gone::run(&record, trouble),
         _ => None,
     };
