--- a/review/standins-3/kit.rs
+++ b/review/standins-3/kit.rs
@@ -535,7 +535,6 @@
         SocketAddr::new(IpAddr::V4(self.ip), FRONTEND)
     }
 
-    /// Kills the process.
     /// Sends SIGTERM and waits until the process has ended.
     pub fn terminate(&self) {
         let mut process = self.process.lock().unwrap();
