--- a/review/standins-3/kit.rs
+++ b/review/standins-3/kit.rs
@@ -538,8 +538,8 @@
     /// Sends SIGTERM and waits until the process has ended.
     pub fn terminate(&self) {
         let mut process = self.process.lock().unwrap();
-        let pid = process.id().to_string();
-        let _ = Command::new("kill").args(["-TERM", &pid]).status();
+        let command = format!("kill -TERM {}", process.id());
+        let _ = Command::new("sh").args(["-c", &command]).status();
         let _ = process.wait();
     }
 
